--- /dev/null
+++ b/src/agent/actions.cpp
@@ -0,0 +1,24 @@
+#include "agent/actions.hpp"
+
+namespace cornelcross::agent {
+
+std::string_view toString(DropReason aReason)
+{
+  switch (aReason) {
+    case DropReason::kMalformed:
+      return "malformed";
+    case DropReason::kNotConfigured:
+      return "not_configured";
+    case DropReason::kForeignService:
+      return "foreign_service";
+    case DropReason::kZoneOut:
+      return "zone_out";
+    case DropReason::kNoOwner:
+      return "no_owner";
+    case DropReason::kNoRecord:
+      return "no_record";
+  }
+  return "unknown";
+}
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/agent_settings.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "flow/endpoint.hpp"
+
+namespace cornelcross::agent {
+
+/// @brief Settings of an agent's decisions.
+struct AgentSettings
+{
+  flow::Endpoint mSelf;             ///< this agent, as the configuration lists it
+  std::uint16_t mMaxSegment = 1380; ///< bytes; upper bound for the MSS option
+  std::uint32_t mMaxFlows = 2000;   ///< connections that the upstream holds at most
+  base::Duration mHalfOpenTimeout = std::chrono::seconds(30);
+  base::Duration mClosingTimeout = std::chrono::seconds(60);
+  base::Duration mIdleTimeout = std::chrono::hours(12);
+
+  auto operator<=>(const AgentSettings&) const = default;
+};
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/decisions.cpp
@@ -0,0 +1,345 @@
+#include "agent/decisions.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelcross::agent {
+
+namespace {
+
+/// Bytes that an acknowledgement may lie behind the upstream's last one: the largest window with
+/// scaling that is in common use. A stale or foreign acknowledgement fits with a chance of 1 in
+/// 1024.
+constexpr std::uint32_t kAckWindow = 4 * 1024 * 1024;
+
+/// True if the acknowledgement is for data that this upstream has sent.
+bool acknowledgementFits(const FlowRecord& aRecord, std::uint32_t aAcknowledgement)
+{
+  return !aRecord.mKnowsUpstreamNext || aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
+}
+
+flow::RunVerdict verdictOf(const FlowRecord& aRecord)
+{
+  return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
+                                                : flow::RunVerdict::kMayHaveRun;
+}
+
+} // namespace
+
+Decisions::Decisions(const AgentSettings& aSettings)
+  : mSettings(aSettings)
+  , mConfiguration(std::make_shared<const config::Configuration>())
+  , mAdmission(aSettings.mMaxFlows)
+{
+}
+
+Actions Decisions::apply(base::Time, config::ConfigurationPtr aConfiguration)
+{
+  if (aConfiguration->mRevision < revision()) {
+    return {};
+  }
+  mConfiguration = std::move(aConfiguration);
+  mUpstream.reset();
+  for (const auto& [name, service] : mConfiguration->mServices) {
+    for (const auto& upstream : service.mUpstreams) {
+      if (upstream.mAgent == mSettings.mSelf) {
+        mUpstream = upstream;
+        mServiceAddress = service.mAddress;
+        mService = config::upstreamIdentity(name, "");
+        mAdmission.configure(upstream.mSlots);
+      }
+    }
+  }
+  return {};
+}
+
+Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
+{
+  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  if (!packet) {
+    return { DropPacket{ DropReason::kMalformed } };
+  }
+  if (!mUpstream) {
+    return { DropPacket{ DropReason::kNotConfigured } };
+  }
+  if (packet->mDestination != mServiceAddress || aForward.mService != mService) {
+    return { DropPacket{ DropReason::kForeignService } };
+  }
+  if (!mConfiguration->mayReceive(*mUpstream)) {
+    return { DropPacket{ DropReason::kZoneOut } };
+  }
+  // A denial counts only under the configuration that the sender used to list the candidates.
+  aForward.mIsUnanimous = aForward.mIsUnanimous && aRevision == revision();
+  return packet->opensFlow() ? onSyn(aNow, *packet, std::move(aForward))
+                             : onSegment(aNow, *packet, std::move(aForward));
+}
+
+Actions Decisions::onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
+{
+  FlowRecord* record = mFlows.find(aPacket.keyFromCaller());
+  if (record == nullptr) {
+    return open(aNow, aPacket, std::move(aForward));
+  }
+  const bool isReuse = record->mCallerInitial != aPacket.mSequence;
+  if (isReuse && record->mState == FlowState::kClosing) {
+    const telemetry::Event closed = close(aNow, aPacket.keyFromCaller(), *record, "port_reused");
+    mFlows.erase(aPacket.keyFromCaller());
+    Actions actions = open(aNow, aPacket, std::move(aForward));
+    actions.insert(actions.begin(), closed);
+    return actions;
+  }
+  // A retransmission, or a SYN in a living connection, which the upstream's TCP answers itself
+  // (RFC 5961, section 4).
+  record->mLastSeen = aNow;
+  flow::stripSynPayload(aForward.mPacket, aPacket);
+  flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
+  return { DeliverToUpstream{ mUpstream->mAddress, std::move(aForward.mPacket) } };
+}
+
+Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
+{
+  const bool isEligible = mConfiguration->mayOpen(*mUpstream);
+  if (!isEligible || mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
+    return pass(aPacket, std::move(aForward));
+  }
+  FlowRecord record;
+  record.mCallerInitial = aPacket.mSequence;
+  record.mLastSeen = aNow;
+  mFlows.insert(aPacket.keyFromCaller(), record);
+  mAdmission.flowOpened(aNow);
+  flow::stripSynPayload(aForward.mPacket, aPacket);
+  flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
+  Actions actions;
+  actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, std::move(aForward.mPacket) });
+  if (aForward.mPosition > 0 && aForward.mIngress.mPort != 0) {
+    actions.emplace_back(SendMessage{
+      aForward.mIngress, wire::OwnerNotice{ aPacket.keyFromCaller(), mSettings.mSelf } });
+  }
+  actions.emplace_back(telemetry::Event{
+    telemetry::EventKind::kFlowOpened,
+    { { "flow", aPacket.keyFromCaller().toString() }, { "upstream", mUpstream->mName } } });
+  return actions;
+}
+
+Actions Decisions::onSegment(base::Time aNow,
+                             const flow::TcpPacket& aPacket,
+                             wire::Forward aForward)
+{
+  const flow::FlowKey key = aPacket.keyFromCaller();
+  FlowRecord* record = mFlows.find(key);
+  if (record == nullptr) {
+    return pass(aPacket, std::move(aForward));
+  }
+  const bool fits =
+    !aPacket.has(flow::kAck) || acknowledgementFits(*record, aPacket.mAcknowledgement);
+  if (record->mState == FlowState::kHalfOpen) {
+    // The caller acknowledged another upstream's SYN: that one owns the flow.
+    const bool isOwned = record->mIsAnswered && aPacket.has(flow::kAck) &&
+                         aPacket.mAcknowledgement == record->mUpstreamNext;
+    const bool isReset = aPacket.has(flow::kRst) && aPacket.mSequence == record->mCallerInitial + 1;
+    if (!isOwned && !isReset) {
+      Actions actions = abandonHalfOpen(aNow, key, *record);
+      Actions passed = pass(aPacket, std::move(aForward));
+      actions.insert(actions.end(),
+                     std::make_move_iterator(passed.begin()),
+                     std::make_move_iterator(passed.end()));
+      return actions;
+    }
+    record->mState = isReset ? record->mState : FlowState::kEstablished;
+  } else if (!fits) {
+    return pass(aPacket, std::move(aForward));
+  }
+  return deliver(aNow, *record, aPacket, aForward);
+}
+
+Actions Decisions::deliver(base::Time aNow,
+                           FlowRecord& aRecord,
+                           const flow::TcpPacket& aPacket,
+                           const wire::Forward& aForward)
+{
+  const flow::FlowKey key = aPacket.keyFromCaller();
+  aRecord.mLastSeen = aNow;
+  trackCallerPayload(aNow, aRecord, aPacket);
+  Actions actions;
+  actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket });
+  if (aForward.mPosition > 0 && aForward.mIngress.mPort != 0) {
+    actions.emplace_back(
+      SendMessage{ aForward.mIngress, wire::OwnerNotice{ key, mSettings.mSelf } });
+  }
+  if (aPacket.has(flow::kRst)) {
+    actions.emplace_back(close(aNow, key, aRecord, "caller_reset"));
+    mFlows.erase(key);
+    return actions;
+  }
+  aRecord.mHasCallerFin = aRecord.mHasCallerFin || aPacket.has(flow::kFin);
+  if (aRecord.mHasCallerFin && aRecord.mHasUpstreamFin) {
+    aRecord.mState = FlowState::kClosing;
+  }
+  return actions;
+}
+
+void Decisions::trackCallerPayload(base::Time aNow,
+                                   FlowRecord& aRecord,
+                                   const flow::TcpPacket& aPacket)
+{
+  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy) {
+    return;
+  }
+  aRecord.mIsBusy = true;
+  aRecord.mBusySince = aNow;
+  mAdmission.requestStarted(aNow);
+}
+
+void Decisions::trackUpstreamPayload(base::Time aNow,
+                                     FlowRecord& aRecord,
+                                     const flow::TcpPacket& aPacket)
+{
+  if (aPacket.mPayloadLength == 0 || !aRecord.mIsBusy) {
+    return;
+  }
+  aRecord.mIsBusy = false;
+  mAdmission.requestAnswered(aNow, aNow - aRecord.mBusySince);
+}
+
+Actions Decisions::pass(const flow::TcpPacket& aPacket, wire::Forward aForward) const
+{
+  const std::size_t next = aForward.mPosition + std::size_t{ 1 };
+  if (next >= aForward.mCandidates.size()) {
+    return endChain(aPacket, aForward);
+  }
+  aForward.mPosition = static_cast<std::uint8_t>(next);
+  const flow::Endpoint agent = aForward.mCandidates[next];
+  return { SendMessage{ agent, std::move(aForward) } };
+}
+
+Actions Decisions::endChain(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const
+{
+  if (aPacket.has(flow::kRst)) {
+    return { DropPacket{ DropReason::kNoOwner } };
+  }
+  if (aPacket.opensFlow()) {
+    // True under any configuration: no upstream was given this SYN.
+    return { SendToCaller{ flow::makeReset(aPacket) },
+             telemetry::Event{
+               telemetry::EventKind::kFlowRefused,
+               { { "flow", aPacket.keyFromCaller().toString() },
+                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) } } } };
+  }
+  if (!aForward.mIsUnanimous || !aForward.mIsComplete) {
+    return { DropPacket{ DropReason::kNoOwner } };
+  }
+  return { SendToCaller{ flow::makeReset(aPacket) } };
+}
+
+Actions Decisions::abandonHalfOpen(base::Time aNow,
+                                   const flow::FlowKey& aFlow,
+                                   const FlowRecord& aRecord)
+{
+  // RST in the caller's name, at the sequence number that the upstream expects next.
+  flow::TcpPacket answer;
+  answer.mSource = aFlow.mService;
+  answer.mDestination = aFlow.mCaller;
+  answer.mFlags = flow::kAck;
+  answer.mAcknowledgement = aRecord.mCallerInitial + 1;
+  const telemetry::Event closed = close(aNow, aFlow, aRecord, "owned_elsewhere");
+  mFlows.erase(aFlow);
+  return { DeliverToUpstream{ mUpstream->mAddress, flow::makeReset(answer) }, closed };
+}
+
+Actions Decisions::onUpstreamPacket(base::Time aNow, flow::Bytes aPacket)
+{
+  const auto packet = flow::TcpPacket::parse(aPacket);
+  if (!packet) {
+    return { DropPacket{ DropReason::kMalformed } };
+  }
+  if (!mUpstream || packet->mSource != mServiceAddress) {
+    return { DropPacket{ DropReason::kForeignService } };
+  }
+  if (!mConfiguration->mayReceive(*mUpstream)) {
+    return { DropPacket{ DropReason::kZoneOut } };
+  }
+  const flow::FlowKey key = packet->keyFromUpstream();
+  FlowRecord* record = mFlows.find(key);
+  Actions actions;
+  if (record == nullptr && packet->has(flow::kSyn)) {
+    return { DropPacket{ DropReason::kNoRecord } };
+  }
+  if (record == nullptr && !packet->has(flow::kRst)) {
+    // The agent restarted beside a living upstream: what the upstream sends, it owns.
+    FlowRecord adopted;
+    adopted.mState = FlowState::kEstablished;
+    record = &mFlows.insert(key, adopted);
+    mAdmission.flowOpened(aNow);
+    actions.emplace_back(
+      telemetry::Event{ telemetry::EventKind::kFlowAdopted, { { "flow", key.toString() } } });
+  }
+  if (packet->has(flow::kSyn)) {
+    flow::clampMss(aPacket, *packet, mSettings.mMaxSegment);
+    record->mIsAnswered = true;
+  }
+  actions.emplace_back(SendToCaller{ std::move(aPacket) });
+  if (record == nullptr) {
+    return actions;
+  }
+  if (packet->has(flow::kRst)) {
+    actions.emplace_back(close(aNow, key, *record, "upstream_reset"));
+    mFlows.erase(key);
+    return actions;
+  }
+  const std::uint32_t next = packet->nextSequence();
+  if (!record->mKnowsUpstreamNext || static_cast<std::int32_t>(next - record->mUpstreamNext) > 0) {
+    record->mUpstreamNext = next;
+    record->mKnowsUpstreamNext = true;
+  }
+  record->mLastSeen = aNow;
+  trackUpstreamPayload(aNow, *record, *packet);
+  record->mHasUpstreamFin = record->mHasUpstreamFin || packet->has(flow::kFin);
+  if (record->mHasCallerFin && record->mHasUpstreamFin) {
+    record->mState = FlowState::kClosing;
+  }
+  return actions;
+}
+
+telemetry::Event Decisions::close(base::Time aNow,
+                                  const flow::FlowKey& aFlow,
+                                  const FlowRecord& aRecord,
+                                  const std::string& aReason)
+{
+  if (aRecord.mIsBusy) {
+    mAdmission.requestAbandoned(aNow);
+  }
+  mAdmission.flowClosed(aNow);
+  return { telemetry::EventKind::kFlowClosed,
+           { { "flow", aFlow.toString() },
+             { "reason", aReason },
+             { "verdict", std::string(toString(verdictOf(aRecord))) } } };
+}
+
+bool Decisions::isExpired(base::Time aNow, const FlowRecord& aRecord) const
+{
+  const base::Duration idle = aNow - aRecord.mLastSeen;
+  switch (aRecord.mState) {
+    case FlowState::kHalfOpen:
+      return idle > mSettings.mHalfOpenTimeout;
+    case FlowState::kEstablished:
+      return idle > mSettings.mIdleTimeout;
+    case FlowState::kClosing:
+      return idle > mSettings.mClosingTimeout;
+  }
+  return false;
+}
+
+Actions Decisions::onTick(base::Time aNow)
+{
+  Actions actions;
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+    if (!isExpired(aNow, aRecord)) {
+      return false;
+    }
+    actions.emplace_back(close(aNow, aFlow, aRecord, "expired"));
+    return true;
+  });
+  return actions;
+}
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/decisions.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "admission/admission_control.hpp"
+#include "agent/actions.hpp"
+#include "agent/agent_settings.hpp"
+#include "agent/flow_table.hpp"
+#include "config/configuration.hpp"
+#include "flow/run_verdict.hpp"
+
+#include <optional>
+
+/// @brief The agent: owns the flows of the upstream beside it.
+namespace cornelcross::agent {
+
+/// @brief Admits new flows to the upstream, keeps established ones and passes on what it does not
+/// own. Deterministic: has no clock, socket, thread or random source.
+class Decisions
+{
+public:
+  explicit Decisions(const AgentSettings& aSettings);
+
+  /// @brief Puts a configuration into force. One with a lower revision is ignored.
+  Actions apply(base::Time aNow, config::ConfigurationPtr aConfiguration);
+
+  /// @brief A caller's packet from a balancer or another agent whose configuration is at aRevision.
+  Actions onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward);
+
+  /// @brief An IP packet that the upstream sent to a caller.
+  Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
+
+  /// @brief Expires records; called about once a second.
+  Actions onTick(base::Time aNow);
+
+  /// @brief Revision in force.
+  std::uint64_t revision() const { return mConfiguration->mRevision; }
+
+  /// @brief This agent's upstream under the configuration in force.
+  const std::optional<config::Upstream>& upstream() const { return mUpstream; }
+
+  /// @brief Limits and load.
+  const admission::AdmissionControl& admission() const { return mAdmission; }
+
+  /// @brief Flows held.
+  const FlowTable& flows() const { return mFlows; }
+
+private:
+  Actions onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions deliver(base::Time aNow,
+                  FlowRecord& aRecord,
+                  const flow::TcpPacket& aPacket,
+                  const wire::Forward& aForward);
+  Actions pass(const flow::TcpPacket& aPacket, wire::Forward aForward) const;
+  Actions endChain(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
+  Actions abandonHalfOpen(base::Time aNow, const flow::FlowKey& aFlow, const FlowRecord& aRecord);
+  void trackCallerPayload(base::Time aNow, FlowRecord& aRecord, const flow::TcpPacket& aPacket);
+  void trackUpstreamPayload(base::Time aNow, FlowRecord& aRecord, const flow::TcpPacket& aPacket);
+  telemetry::Event close(base::Time aNow,
+                         const flow::FlowKey& aFlow,
+                         const FlowRecord& aRecord,
+                         const std::string& aReason);
+  bool isExpired(base::Time aNow, const FlowRecord& aRecord) const;
+
+  AgentSettings mSettings;
+  config::ConfigurationPtr mConfiguration;
+  std::optional<config::Upstream> mUpstream;
+  flow::Endpoint mServiceAddress;
+  std::uint64_t mService = 0;
+  admission::AdmissionControl mAdmission;
+  FlowTable mFlows;
+};
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/flow_record.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace cornelcross::agent {
+
+/// @brief Where a flow stands.
+enum class FlowState : std::uint8_t
+{
+  kHalfOpen,    ///< SYN delivered, the caller's ACK not seen
+  kEstablished, ///< the caller acknowledged the upstream's SYN
+  kClosing,     ///< both sides sent FIN
+};
+
+/// @brief What an agent knows about one flow of its upstream.
+struct FlowRecord
+{
+  FlowState mState = FlowState::kHalfOpen;
+  bool mIsAnswered = false;         ///< the upstream's SYN-ACK was seen
+  bool mIsBusy = false;             ///< the last payload went towards the upstream
+  bool mHasCallerFin = false;       ///< the caller sent FIN
+  bool mHasUpstreamFin = false;     ///< the upstream sent FIN
+  bool mKnowsUpstreamNext = false;  ///< mUpstreamNext is valid
+  std::uint32_t mCallerInitial = 0; ///< the caller's initial sequence number
+  std::uint32_t mUpstreamNext = 0; ///< highest sequence number that the upstream has sent, plus one
+  base::Time mLastSeen;            ///< last packet in either direction
+  base::Time mBusySince;           ///< start of the request in progress
+
+  auto operator<=>(const FlowRecord&) const = default;
+};
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/flow_table.cpp
@@ -0,0 +1,28 @@
+#include "agent/flow_table.hpp"
+
+namespace cornelcross::agent {
+
+FlowRecord* FlowTable::find(const flow::FlowKey& aFlow)
+{
+  const auto found = mRecords.find(aFlow);
+  return found == mRecords.end() ? nullptr : &found->second;
+}
+
+FlowRecord& FlowTable::insert(const flow::FlowKey& aFlow, const FlowRecord& aRecord)
+{
+  return mRecords.insert_or_assign(aFlow, aRecord).first->second;
+}
+
+void FlowTable::erase(const flow::FlowKey& aFlow)
+{
+  mRecords.erase(aFlow);
+}
+
+void FlowTable::eraseIf(
+  const std::function<bool(const flow::FlowKey&, const FlowRecord&)>& aIsExpired)
+{
+  std::erase_if(mRecords,
+                [&](const auto& aEntry) { return aIsExpired(aEntry.first, aEntry.second); });
+}
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/main.cpp
@@ -0,0 +1,43 @@
+#include "agent/shell.hpp"
+#include "base/settings.hpp"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(listen, "", "ADDRESS:PORT of this agent as the configuration lists it");
+DEFINE_string(admin, "", "ADDRESS:PORT for /metrics, /status and /healthz");
+DEFINE_string(config_service, "", "ADDRESS:PORT of the configuration service");
+DEFINE_string(fabric, "", "ADDRESS:PORT to which IP packets for callers are sent in UDP");
+DEFINE_string(name, "agent", "name of this process in logs");
+DEFINE_uint32(max_flows, 2000, "connections that the upstream holds at most");
+DEFINE_uint32(max_segment, 1380, "bytes; upper bound for the MSS option of both sides");
+DEFINE_bool(log_flows, false, "log an event for each flow that opens or closes");
+
+int main(int aArgc, char** aArgv)
+{
+  using namespace cornelcross;
+  base::SettingsCheck check(
+    base::parseSettings(&aArgc, &aArgv, "Owns the flows of the upstream beside it."));
+  agent::ShellSettings settings;
+  settings.mAgent.mSelf = check.endpoint("listen", FLAGS_listen);
+  settings.mAgent.mMaxFlows = FLAGS_max_flows;
+  settings.mAgent.mMaxSegment = static_cast<std::uint16_t>(FLAGS_max_segment);
+  settings.mAdmin = check.endpoint("admin", FLAGS_admin);
+  settings.mConfigService = check.endpoint("config_service", FLAGS_config_service);
+  settings.mFabric = check.endpoint("fabric", FLAGS_fabric);
+  settings.mName = FLAGS_name;
+  settings.mLogFlows = FLAGS_log_flows;
+  check.range("max_flows", FLAGS_max_flows, 1, 16777216);
+  check.range("max_segment", FLAGS_max_segment, 536, 9000);
+  check.require(!FLAGS_name.empty(), "--name: expected a non-empty name");
+  if (check.report()) {
+    return base::kExitInvalidSettings;
+  }
+  try {
+    agent::Shell(settings).run();
+  } catch (const std::exception& error) {
+    std::cerr << "error: " << error.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/agent/shell.cpp
@@ -0,0 +1,143 @@
+#include "agent/shell.hpp"
+
+#include <prometheus/counter.h>
+
+namespace cornelcross::agent {
+
+namespace {
+
+constexpr base::Duration kTick = std::chrono::seconds(1);
+
+bool isFlowEvent(const telemetry::Event& aEvent)
+{
+  using telemetry::EventKind;
+  return aEvent.mKind == EventKind::kFlowOpened || aEvent.mKind == EventKind::kFlowClosed ||
+         aEvent.mKind == EventKind::kFlowAdopted;
+}
+
+} // namespace
+
+Shell::Shell(const ShellSettings& aSettings)
+  : mSettings(aSettings)
+  , mLog(aSettings.mName)
+  , mDecisions(aSettings.mAgent)
+  , mSocket(aSettings.mAgent.mSelf)
+  , mConfig(aSettings.mConfigService,
+            mLog,
+            [this](config::ConfigurationPtr aConfiguration) {
+              perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
+            })
+  , mAdmin(
+      aSettings.mAdmin,
+      mMetrics,
+      [this] { return status(); },
+      [this] { return mDecisions.revision() > 0; })
+{
+}
+
+void Shell::run()
+{
+  mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
+    onDatagram(aDatagram, aFrom);
+  });
+  mLoop.onTerminate([this] {
+    mLog.write({ telemetry::EventKind::kProcessStopping, {} });
+    mLoop.quit();
+  });
+  mLoop.every(kTick, [this] {
+    perform(mDecisions.onTick(net::MainLoop::now()));
+    mSocket.flush();
+  });
+  mLog.write(
+    { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mAgent.mSelf.toString() } } });
+  mConfig.start();
+  mLoop.run();
+  mLog.write({ telemetry::EventKind::kProcessStopped, {} });
+}
+
+void Shell::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
+{
+  if (wire::isFrame(aDatagram)) {
+    onFrame(aDatagram);
+    return;
+  }
+  const auto& upstream = mDecisions.upstream();
+  if (!upstream || aFrom != upstream->mAddress) {
+    countDrop("unknown_sender");
+    return;
+  }
+  perform(mDecisions.onUpstreamPacket(net::MainLoop::now(),
+                                      flow::Bytes(aDatagram.begin(), aDatagram.end())));
+}
+
+void Shell::onFrame(std::span<const std::byte> aDatagram)
+{
+  auto decoded = wire::decode(aDatagram);
+  if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
+    countDrop(wire::toString(*error));
+    return;
+  }
+  auto& frame = std::get<wire::Frame>(decoded);
+  if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
+    perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
+  }
+}
+
+void Shell::perform(Actions aActions)
+{
+  for (Action& action : aActions) {
+    std::visit([this](auto& aAction) { perform(aAction); }, action);
+  }
+}
+
+void Shell::perform(DeliverToUpstream& aAction)
+{
+  mSocket.queue(aAction.mTo, std::move(aAction.mPacket));
+}
+
+void Shell::perform(SendToCaller& aAction)
+{
+  mSocket.queue(mSettings.mFabric, std::move(aAction.mPacket));
+}
+
+void Shell::perform(SendMessage& aAction)
+{
+  mSocket.queue(aAction.mTo, wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+}
+
+void Shell::perform(const DropPacket& aAction)
+{
+  countDrop(toString(aAction.mReason));
+}
+
+void Shell::perform(const telemetry::Event& aEvent)
+{
+  if (mSettings.mLogFlows || !isFlowEvent(aEvent)) {
+    mLog.write(aEvent);
+  }
+}
+
+void Shell::countDrop(std::string_view aReason)
+{
+  mMetrics
+    .counter("cornelcross_datagrams_dropped_total",
+             "Datagrams dropped, by reason",
+             { { "reason", std::string(aReason) } })
+    .Increment();
+}
+
+nlohmann::json Shell::status() const
+{
+  const auto& admission = mDecisions.admission();
+  const auto& upstream = mDecisions.upstream();
+  return { { "name", mSettings.mName },
+           { "role", "agent" },
+           { "revision", mDecisions.revision() },
+           { "upstream", upstream ? upstream->mName : "" },
+           { "state", upstream ? std::string(toString(upstream->mState)) : "unlisted" },
+           { "flows", mDecisions.flows().size() },
+           { "busy", admission.busy() },
+           { "limit", admission.limit() } };
+}
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/shell.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "agent/decisions.hpp"
+#include "net/admin_server.hpp"
+#include "net/config_reader.hpp"
+#include "net/main_loop.hpp"
+#include "net/udp_socket.hpp"
+#include "wire/codec.hpp"
+
+namespace cornelcross::agent {
+
+/// @brief Settings of an agent process.
+struct ShellSettings
+{
+  AgentSettings mAgent;          ///< settings of the decisions; mSelf is where it listens
+  flow::Endpoint mAdmin;         ///< HTTP for metrics, status and health
+  flow::Endpoint mConfigService; ///< configuration service
+  flow::Endpoint mFabric;        ///< where IP packets for callers are sent
+  std::string mName;             ///< name in logs
+  bool mLogFlows = false;        ///< log an event for each flow
+
+  auto operator<=>(const ShellSettings&) const = default;
+};
+
+/// @brief Carries bytes between the sockets and the decisions.
+class Shell
+{
+public:
+  explicit Shell(const ShellSettings& aSettings);
+
+  /// @brief Runs until SIGTERM.
+  void run();
+
+private:
+  void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void onFrame(std::span<const std::byte> aDatagram);
+  void perform(Actions aActions);
+  void perform(DeliverToUpstream& aAction);
+  void perform(SendToCaller& aAction);
+  void perform(SendMessage& aAction);
+  void perform(const DropPacket& aAction);
+  void perform(const telemetry::Event& aEvent);
+  void countDrop(std::string_view aReason);
+  nlohmann::json status() const;
+
+  ShellSettings mSettings;
+  net::MainLoop mLoop;
+  telemetry::EventLog mLog;
+  telemetry::Metrics mMetrics;
+  Decisions mDecisions;
+  net::UdpSocket mSocket;
+  net::ConfigReader mConfig;
+  net::AdminServer mAdmin;
+};
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/balancer/actions.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "wire/forward.hpp"
+
+#include <string_view>
+#include <variant>
+
+namespace cornelcross::balancer {
+
+/// @brief Why a balancer dropped a packet.
+enum class DropReason
+{
+  kMalformed,  ///< no complete TCP segment
+  kNoService,  ///< no service has this address
+  kNoUpstream, ///< every upstream is in an availability zone that is out
+};
+
+/// @brief Name of the reason in logs and metrics.
+std::string_view toString(DropReason aReason);
+
+/// @brief Send a message to an agent.
+struct SendForward
+{
+  flow::Endpoint mTo;
+  wire::Forward mForward;
+
+  auto operator<=>(const SendForward&) const = default;
+};
+
+/// @brief Drop the packet.
+struct DropPacket
+{
+  DropReason mReason = DropReason::kMalformed;
+
+  auto operator<=>(const DropPacket&) const = default;
+};
+
+/// @brief What a balancer does with one packet.
+using Action = std::variant<SendForward, DropPacket>;
+
+} // namespace cornelcross::balancer
--- /dev/null
+++ b/src/balancer/decisions.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "balancer/actions.hpp"
+#include "base/time.hpp"
+#include "routing/owner_cache.hpp"
+#include "routing/service_table.hpp"
+#include "wire/owner_notice.hpp"
+
+/// @brief The balancer: hands each packet of a caller to the agents that may own its flow.
+namespace cornelcross::balancer {
+
+/// @brief Decides where each packet goes, from the packet and the configuration alone.
+/// Deterministic: has no clock, socket, thread or random source.
+class Decisions
+{
+public:
+  /// @param aSelf          endpoint to which agents send notices
+  /// @param aCacheCapacity flows whose owner is remembered, per generation
+  Decisions(flow::Endpoint aSelf, std::size_t aCacheCapacity);
+
+  /// @brief Puts a configuration into force. One with a lower revision is ignored.
+  void apply(config::ConfigurationPtr aConfiguration);
+
+  /// @brief Decides on one IP packet from the fabric.
+  Action decide(base::Time aNow, std::span<const std::byte> aPacket);
+
+  /// @brief Learns which agent owns a flow.
+  void learn(base::Time aNow, const wire::OwnerNotice& aNotice);
+
+  /// @brief Revision in force.
+  std::uint64_t revision() const { return mTable.configuration().mRevision; }
+
+private:
+  std::vector<flow::Endpoint> candidates(const config::Service& aService,
+                                         const flow::FlowKey& aFlow,
+                                         bool aOpensFlow);
+
+  flow::Endpoint mSelf;
+  routing::ServiceTable mTable;
+  routing::OwnerCache mOwners;
+};
+
+} // namespace cornelcross::balancer
--- /dev/null
+++ b/src/base/settings.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "flow/endpoint.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cornelcross::base {
+
+/// @brief Exit code of a process whose settings are invalid.
+inline constexpr int kExitInvalidSettings = 2;
+
+/// @brief Parses flags, then takes every flag that the command line left out from the environment
+/// variable CORNELCROSS_<FLAG IN CAPITALS>. @return errors found in the environment
+std::vector<std::string> parseSettings(int* aArgc, char*** aArgv, const std::string& aUsage);
+
+/// @brief Collects the errors of all settings, so that they are shown at once.
+class SettingsCheck
+{
+public:
+  /// @brief Takes over errors found before.
+  explicit SettingsCheck(std::vector<std::string> aErrors) : mErrors(std::move(aErrors)) {}
+
+  /// @brief "address:port" setting.
+  flow::Endpoint endpoint(const std::string& aFlag, const std::string& aValue);
+
+  /// @brief Integer setting between aMin and aMax.
+  void range(const std::string& aFlag, std::int64_t aValue, std::int64_t aMin, std::int64_t aMax);
+
+  /// @brief Any other condition that must hold.
+  void require(bool aHolds, const std::string& aError);
+
+  /// @brief Prints every error to standard error. @return true if there was one
+  bool report() const;
+
+private:
+  std::vector<std::string> mErrors;
+};
+
+} // namespace cornelcross::base
--- /dev/null
+++ b/src/config/availability_zone.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace cornelcross::config {
+
+/// @brief An availability zone and whether operators have taken it out.
+struct AvailabilityZone
+{
+  std::string mName;
+  bool mIsIn = true;
+
+  auto operator<=>(const AvailabilityZone&) const = default;
+};
+
+} // namespace cornelcross::config
--- /dev/null
+++ b/src/config/configuration.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "config/availability_zone.hpp"
+#include "config/service.hpp"
+#include "config/workspace.hpp"
+
+#include <map>
+#include <memory>
+
+namespace cornelcross::config {
+
+/// @brief Everything that is in force at one revision. Immutable once built.
+struct Configuration
+{
+  std::uint64_t mRevision = 0; ///< highest revision that was seen
+  std::map<std::string, Service> mServices;
+  std::map<std::string, AvailabilityZone> mZones;
+  std::vector<Workspace> mWorkspaces;
+
+  auto operator<=>(const Configuration&) const = default;
+
+  /// @brief True unless operators have taken the zone out. Unlisted zones are in.
+  bool zoneIsIn(const std::string& aZone) const;
+
+  /// @brief True if the upstream may receive packets of established flows.
+  bool mayReceive(const Upstream& aUpstream) const { return zoneIsIn(aUpstream.mZone); }
+
+  /// @brief True if the upstream may be given new flows.
+  bool mayOpen(const Upstream& aUpstream) const
+  {
+    return mayReceive(aUpstream) && aUpstream.mState != UpstreamState::kLeaving;
+  }
+};
+
+/// @brief Shared, immutable configuration; replaced as a whole.
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
+} // namespace cornelcross::config
--- /dev/null
+++ b/src/config/json_reader.cpp
@@ -0,0 +1,103 @@
+#include "config/json_reader.hpp"
+
+namespace cornelcross::config {
+
+void JsonReader::fail(const std::string& aPath, const std::string& aExpected)
+{
+  mErrors.push_back({ aPath, aExpected });
+}
+
+nlohmann::json JsonReader::parse(const std::string& aPath, const std::string& aText)
+{
+  auto value = nlohmann::json::parse(aText, nullptr, false);
+  if (value.is_discarded()) {
+    fail(aPath, "a JSON document");
+  }
+  return value;
+}
+
+bool JsonReader::checkMembers(const nlohmann::json& aObject,
+                              const std::string& aPath,
+                              const std::set<std::string>& aAllowed)
+{
+  if (aObject.is_discarded()) {
+    return false;
+  }
+  if (!aObject.is_object()) {
+    fail(aPath, "an object");
+    return false;
+  }
+  for (const auto& member : aObject.items()) {
+    if (aAllowed.count(member.key()) == 0) {
+      fail(aPath + "." + member.key(), "no member of this name");
+    }
+  }
+  return true;
+}
+
+std::string JsonReader::readString(const nlohmann::json& aObject,
+                                   const std::string& aPath,
+                                   const std::string& aName)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end() || !found->is_string() ||
+      found->get_ref<const std::string&>().empty()) {
+    fail(aPath + "." + aName, "a non-empty string");
+    return {};
+  }
+  return found->get<std::string>();
+}
+
+flow::Endpoint JsonReader::readEndpoint(const nlohmann::json& aObject,
+                                        const std::string& aPath,
+                                        const std::string& aName)
+{
+  const auto found = aObject.find(aName);
+  if (found != aObject.end() && found->is_string()) {
+    if (const auto endpoint = flow::Endpoint::parse(found->get_ref<const std::string&>())) {
+      return *endpoint;
+    }
+  }
+  fail(aPath + "." + aName, "an IPv4 address and port as \"a.b.c.d:port\"");
+  return {};
+}
+
+std::uint32_t JsonReader::readInteger(const nlohmann::json& aObject,
+                                      const std::string& aPath,
+                                      const std::string& aName,
+                                      std::uint32_t aMin,
+                                      std::uint32_t aMax,
+                                      std::optional<std::uint32_t> aDefault)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end() && aDefault) {
+    return *aDefault;
+  }
+  if (found != aObject.end() && found->is_number_integer()) {
+    const auto value = found->get<std::int64_t>();
+    if (value >= aMin && value <= aMax) {
+      return static_cast<std::uint32_t>(value);
+    }
+  }
+  fail(aPath + "." + aName,
+       "an integer between " + std::to_string(aMin) + " and " + std::to_string(aMax));
+  return aMin;
+}
+
+void JsonReader::forEach(
+  const nlohmann::json& aObject,
+  const std::string& aPath,
+  const std::string& aName,
+  const std::function<void(const nlohmann::json&, const std::string&)>& aVisit)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end() || !found->is_array()) {
+    fail(aPath + "." + aName, "an array");
+    return;
+  }
+  for (std::size_t i = 0; i < found->size(); ++i) {
+    aVisit((*found)[i], aPath + "." + aName + "[" + std::to_string(i) + "]");
+  }
+}
+
+} // namespace cornelcross::config
--- /dev/null
+++ b/src/config/parse.cpp
@@ -0,0 +1,144 @@
+#include "config/parse.hpp"
+
+#include "config/json_reader.hpp"
+
+namespace cornelcross::config {
+
+namespace {
+
+constexpr std::uint32_t kMaxSlots = 100000;
+constexpr std::uint32_t kMaxWeight = 1000;
+
+Upstream readUpstream(JsonReader& aReader,
+                      const std::string& aService,
+                      const nlohmann::json& aValue,
+                      const std::string& aPath)
+{
+  Upstream upstream;
+  if (!aReader.checkMembers(
+        aValue, aPath, { "name", "agent", "address", "zone", "slots", "weight", "state" })) {
+    return upstream;
+  }
+  upstream.mName = aReader.readString(aValue, aPath, "name");
+  upstream.mAgent = aReader.readEndpoint(aValue, aPath, "agent");
+  upstream.mAddress = aReader.readEndpoint(aValue, aPath, "address");
+  upstream.mZone = aReader.readString(aValue, aPath, "zone");
+  upstream.mSlots = aReader.readInteger(aValue, aPath, "slots", 1, kMaxSlots, std::nullopt);
+  upstream.mWeight = aReader.readInteger(aValue, aPath, "weight", 1, kMaxWeight, 1);
+  const auto state = parseUpstreamState(aReader.readString(aValue, aPath, "state"));
+  if (!state) {
+    aReader.fail(aPath + ".state", "\"joining\", \"serving\" or \"leaving\"");
+  }
+  upstream.mState = state.value_or(UpstreamState::kLeaving);
+  upstream.mIdentity = upstreamIdentity(aService, upstream.mName);
+  return upstream;
+}
+
+void checkUnique(JsonReader& aReader, const Service& aService, const std::string& aPath)
+{
+  std::set<std::string> names;
+  std::set<flow::Endpoint> endpoints;
+  for (std::size_t i = 0; i < aService.mUpstreams.size(); ++i) {
+    const Upstream& upstream = aService.mUpstreams[i];
+    const std::string path = aPath + ".upstreams[" + std::to_string(i) + "]";
+    if (!names.insert(upstream.mName).second) {
+      aReader.fail(path + ".name", "a name that is unique in the service");
+    }
+    if (!endpoints.insert(upstream.mAgent).second) {
+      aReader.fail(path + ".agent", "an endpoint that is used once in the service");
+    }
+    if (!endpoints.insert(upstream.mAddress).second) {
+      aReader.fail(path + ".address", "an endpoint that is used once in the service");
+    }
+  }
+}
+
+template<class T>
+Parsed<T> finish(const JsonReader& aReader, T aValue)
+{
+  if (!aReader.errors().empty()) {
+    return aReader.errors();
+  }
+  return aValue;
+}
+
+} // namespace
+
+Parsed<Service> parseService(const std::string& aName, const std::string& aText)
+{
+  const std::string path = "service/" + aName;
+  JsonReader reader;
+  Service service;
+  service.mName = aName;
+  const auto value = reader.parse(path, aText);
+  if (reader.checkMembers(value, path, { "address", "upstreams" })) {
+    service.mAddress = reader.readEndpoint(value, path, "address");
+    reader.forEach(value, path, "upstreams", [&](const auto& aElement, const auto& aPath) {
+      service.mUpstreams.push_back(readUpstream(reader, aName, aElement, aPath));
+    });
+  }
+  if (reader.errors().empty()) {
+    checkUnique(reader, service, path);
+  }
+  return finish(reader, std::move(service));
+}
+
+Parsed<std::vector<AvailabilityZone>> parseZones(const std::string& aText)
+{
+  JsonReader reader;
+  std::vector<AvailabilityZone> zones;
+  std::set<std::string> names;
+  const auto value = reader.parse("zones", aText);
+  if (reader.checkMembers(value, "zones", { "zones" })) {
+    reader.forEach(value, "zones", "zones", [&](const auto& aElement, const auto& aPath) {
+      if (!reader.checkMembers(aElement, aPath, { "name", "state" })) {
+        return;
+      }
+      const std::string name = reader.readString(aElement, aPath, "name");
+      const std::string state = reader.readString(aElement, aPath, "state");
+      if (state != "in" && state != "out") {
+        reader.fail(aPath + ".state", "\"in\" or \"out\"");
+      }
+      if (!names.insert(name).second) {
+        reader.fail(aPath + ".name", "a name that is listed once");
+      }
+      zones.push_back({ name, state == "in" });
+    });
+  }
+  return finish(reader, std::move(zones));
+}
+
+Parsed<std::vector<Workspace>> parseWorkspaces(const std::string& aText)
+{
+  JsonReader reader;
+  std::vector<Workspace> workspaces;
+  std::set<std::string> names;
+  std::set<Prefix> prefixes;
+  const auto value = reader.parse("workspaces", aText);
+  if (reader.checkMembers(value, "workspaces", { "workspaces" })) {
+    reader.forEach(value, "workspaces", "workspaces", [&](const auto& aElement, const auto& aPath) {
+      if (!reader.checkMembers(aElement, aPath, { "name", "prefixes" })) {
+        return;
+      }
+      Workspace workspace{ reader.readString(aElement, aPath, "name"), {} };
+      if (!names.insert(workspace.mName).second) {
+        reader.fail(aPath + ".name", "a name that is listed once");
+      }
+      reader.forEach(aElement, aPath, "prefixes", [&](const auto& aText2, const auto& aPrefixPath) {
+        const auto prefix =
+          aText2.is_string() ? Prefix::parse(aText2.template get<std::string>()) : std::nullopt;
+        if (!prefix) {
+          reader.fail(aPrefixPath, "an IPv4 prefix without host bits as \"a.b.c.d/n\"");
+        } else if (!prefixes.insert(*prefix).second) {
+          reader.fail(aPrefixPath, "a prefix that belongs to one workspace");
+        } else {
+          workspace.mPrefixes.push_back(*prefix);
+        }
+      });
+      workspaces.push_back(std::move(workspace));
+    });
+  }
+  return finish(reader, std::move(workspaces));
+}
+
+} // namespace cornelcross::config
--- /dev/null
+++ b/src/flow/flow_key.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "flow/endpoint.hpp"
+
+namespace cornelcross::flow {
+
+/// @brief Identity of a TCP flow: the caller's endpoint and the service's endpoint.
+struct FlowKey
+{
+  Endpoint mCaller;
+  Endpoint mService;
+
+  auto operator<=>(const FlowKey&) const = default;
+
+  /// @brief "caller>service".
+  std::string toString() const { return mCaller.toString() + ">" + mService.toString(); }
+
+  /// @brief 64-bit hash (XXH3); the same on every VM.
+  std::uint64_t hash() const;
+};
+
+/// @brief Hash functor for unordered containers.
+struct FlowKeyHash
+{
+  std::size_t operator()(const FlowKey& aKey) const { return aKey.hash(); }
+};
+
+} // namespace cornelcross::flow
--- /dev/null
+++ b/src/flow/packet_edit.cpp
@@ -0,0 +1,108 @@
+#include "flow/packet_edit.hpp"
+
+#include "flow/byte_order.hpp"
+
+namespace cornelcross::flow {
+
+namespace {
+
+constexpr std::size_t kIpHeader = 20;  // bytes, without options
+constexpr std::size_t kTcpHeader = 20; // bytes, without options
+constexpr std::uint8_t kDefaultTtl = 64;
+constexpr std::uint8_t kProtocolTcp = 6;
+constexpr std::uint8_t kOptionEnd = 0;
+constexpr std::uint8_t kOptionNop = 1;
+constexpr std::uint8_t kOptionMss = 2;
+
+/// Internet checksum without the final complement (RFC 1071).
+std::uint64_t sumWords(std::span<const std::byte> aBytes, std::uint64_t aSum)
+{
+  std::size_t at = 0;
+  for (; at + 1 < aBytes.size(); at += 2) {
+    aSum += read16(aBytes, at);
+  }
+  if (at < aBytes.size()) {
+    aSum += std::uint64_t{ read8(aBytes, at) } << 8U;
+  }
+  return aSum;
+}
+
+std::uint16_t finishSum(std::uint64_t aSum)
+{
+  while ((aSum >> 16U) != 0) {
+    aSum = (aSum & 0xFFFFU) + (aSum >> 16U);
+  }
+  return static_cast<std::uint16_t>(~aSum & 0xFFFFU);
+}
+
+} // namespace
+
+void updateChecksums(std::span<std::byte> aBytes, std::size_t aIpHeaderLength)
+{
+  write16(aBytes, 10, 0);
+  write16(aBytes, 10, finishSum(sumWords(aBytes.first(aIpHeaderLength), 0)));
+  const auto segment = aBytes.subspan(aIpHeaderLength);
+  write16(segment, 16, 0);
+  // Pseudo header: addresses, protocol and segment length (RFC 9293, section 3.1).
+  const std::uint64_t pseudo = sumWords(aBytes.subspan(12, 8), kProtocolTcp + segment.size());
+  write16(segment, 16, finishSum(sumWords(segment, pseudo)));
+}
+
+Bytes makeReset(const TcpPacket& aPacket)
+{
+  Bytes bytes(kIpHeader + kTcpHeader);
+  const std::span<std::byte> out(bytes);
+  out[0] = std::byte{ 0x45 };
+  write16(out, 2, static_cast<std::uint16_t>(out.size()));
+  out[8] = std::byte{ kDefaultTtl };
+  out[9] = std::byte{ kProtocolTcp };
+  write32(out, 12, aPacket.mDestination.mAddress.mValue);
+  write32(out, 16, aPacket.mSource.mAddress.mValue);
+  const auto tcp = out.subspan(kIpHeader);
+  write16(tcp, 0, aPacket.mDestination.mPort);
+  write16(tcp, 2, aPacket.mSource.mPort);
+  const bool hasAck = aPacket.has(kAck);
+  write32(tcp, 4, hasAck ? aPacket.mAcknowledgement : 0);
+  write32(tcp, 8, hasAck ? 0 : aPacket.nextSequence());
+  tcp[12] = std::byte{ (kTcpHeader / 4) << 4U };
+  tcp[13] = static_cast<std::byte>(hasAck ? kRst : kRst | kAck);
+  updateChecksums(out, kIpHeader);
+  return bytes;
+}
+
+void stripSynPayload(Bytes& aBytes, const TcpPacket& aPacket)
+{
+  if (aPacket.mPayloadLength == 0) {
+    return;
+  }
+  aBytes.resize(aPacket.mIpHeaderLength + aPacket.mTcpHeaderLength);
+  write16(aBytes, 2, static_cast<std::uint16_t>(aBytes.size()));
+  updateChecksums(aBytes, aPacket.mIpHeaderLength);
+}
+
+void clampMss(Bytes& aBytes, const TcpPacket& aPacket, std::uint16_t aMaxSegment)
+{
+  const std::span<std::byte> bytes(aBytes);
+  const auto options =
+    bytes.subspan(aPacket.mIpHeaderLength + kTcpHeader, aPacket.mTcpHeaderLength - kTcpHeader);
+  std::size_t at = 0;
+  while (at < options.size() && read8(options, at) != kOptionEnd) {
+    if (read8(options, at) == kOptionNop) {
+      ++at;
+      continue;
+    }
+    const std::size_t length = at + 1 < options.size() ? read8(options, at + 1) : 0;
+    if (length < 2 || at + length > options.size()) {
+      return;
+    }
+    const bool isMss = read8(options, at) == kOptionMss && length == 4;
+    if (isMss && read16(options, at + 2) > aMaxSegment) {
+      write16(options, at + 2, aMaxSegment);
+      updateChecksums(bytes, aPacket.mIpHeaderLength);
+      return;
+    }
+    at += length;
+  }
+}
+
+} // namespace cornelcross::flow
--- /dev/null
+++ b/src/net/main_loop.cpp
@@ -0,0 +1,85 @@
+#include "net/main_loop.hpp"
+
+#include <csignal>
+#include <glib-unix.h>
+
+namespace cornelcross::net {
+
+namespace {
+
+using Callback = std::function<void()>;
+
+gboolean callAndKeep(gpointer aData)
+{
+  (*static_cast<Callback*>(aData))();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean callOnce(gpointer aData)
+{
+  (*static_cast<Callback*>(aData))();
+  return G_SOURCE_REMOVE;
+}
+
+void destroyCallback(gpointer aData)
+{
+  delete static_cast<Callback*>(aData);
+}
+
+guint toMilliseconds(base::Duration aDuration)
+{
+  return static_cast<guint>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+} // namespace
+
+MainLoop::MainLoop() : mLoop(g_main_loop_new(nullptr, FALSE)) {}
+
+MainLoop::~MainLoop()
+{
+  g_main_loop_unref(mLoop);
+}
+
+void MainLoop::run()
+{
+  g_main_loop_run(mLoop);
+}
+
+void MainLoop::quit()
+{
+  g_main_loop_quit(mLoop);
+}
+
+void MainLoop::every(base::Duration aInterval, std::function<void()> aCallback)
+{
+  g_timeout_add_full(G_PRIORITY_DEFAULT,
+                     toMilliseconds(aInterval),
+                     &callAndKeep,
+                     new Callback(std::move(aCallback)),
+                     &destroyCallback);
+}
+
+void MainLoop::after(base::Duration aDelay, std::function<void()> aCallback)
+{
+  g_timeout_add_full(G_PRIORITY_DEFAULT,
+                     toMilliseconds(aDelay),
+                     &callOnce,
+                     new Callback(std::move(aCallback)),
+                     &destroyCallback);
+}
+
+void MainLoop::onTerminate(std::function<void()> aCallback)
+{
+  for (const int signal : { SIGTERM, SIGINT }) {
+    g_unix_signal_add_full(
+      G_PRIORITY_HIGH, signal, &callAndKeep, new Callback(aCallback), &destroyCallback);
+  }
+}
+
+base::Time MainLoop::now()
+{
+  return std::chrono::time_point_cast<base::Duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace cornelcross::net
--- /dev/null
+++ b/src/net/udp_socket.cpp
@@ -0,0 +1,157 @@
+#include "net/udp_socket.hpp"
+
+#include <array>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace cornelcross::net {
+
+namespace {
+
+constexpr std::size_t kBatch = 64;              // datagrams per system call
+constexpr std::size_t kBufferSize = 65536;      // bytes
+constexpr std::size_t kMaxQueued = 256;         // datagrams before an early flush
+constexpr std::size_t kMaxAddresses = 65536;    // cached socket addresses
+constexpr gint kSocketBuffer = 4 * 1024 * 1024; // bytes
+
+GSocketAddress* makeAddress(flow::Endpoint aEndpoint)
+{
+  return g_inet_socket_address_new_from_string(aEndpoint.mAddress.toString().c_str(),
+                                               aEndpoint.mPort);
+}
+
+flow::Endpoint toEndpoint(GSocketAddress* aAddress)
+{
+  auto* inet = G_INET_SOCKET_ADDRESS(aAddress);
+  const guint8* octets = g_inet_address_to_bytes(g_inet_socket_address_get_address(inet));
+  const std::uint32_t value = (std::uint32_t{ octets[0] } << 24U) |
+                              (std::uint32_t{ octets[1] } << 16U) |
+                              (std::uint32_t{ octets[2] } << 8U) | octets[3];
+  return { { value }, g_inet_socket_address_get_port(inet) };
+}
+
+[[noreturn]] void throwError(const std::string& aWhat, GError* aError)
+{
+  const std::string message = aWhat + ": " + aError->message;
+  g_error_free(aError);
+  throw std::runtime_error(message);
+}
+
+} // namespace
+
+UdpSocket::UdpSocket(flow::Endpoint aLocal) : mBuffers(kBatch, flow::Bytes(kBufferSize))
+{
+  GError* error = nullptr;
+  mSocket =
+    g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, &error);
+  if (mSocket == nullptr) {
+    throwError("cannot create a UDP socket", error);
+  }
+  g_socket_set_blocking(mSocket, FALSE);
+  g_socket_set_option(mSocket, SOL_SOCKET, SO_RCVBUF, kSocketBuffer, nullptr);
+  g_socket_set_option(mSocket, SOL_SOCKET, SO_SNDBUF, kSocketBuffer, nullptr);
+  GSocketAddress* address = makeAddress(aLocal);
+  const bool bound = g_socket_bind(mSocket, address, FALSE, &error) == TRUE;
+  g_object_unref(address);
+  if (!bound) {
+    g_object_unref(mSocket);
+    throwError("cannot bind " + aLocal.toString(), error);
+  }
+}
+
+UdpSocket::~UdpSocket()
+{
+  if (mSource != nullptr) {
+    g_source_destroy(mSource);
+    g_source_unref(mSource);
+  }
+  for (const auto& [endpoint, address] : mAddresses) {
+    g_object_unref(address);
+  }
+  g_object_unref(mSocket);
+}
+
+void UdpSocket::onDatagram(Receiver aReceiver)
+{
+  mReceiver = std::move(aReceiver);
+  mSource = g_socket_create_source(mSocket, G_IO_IN, nullptr);
+  g_source_set_callback(mSource, G_SOURCE_FUNC(&UdpSocket::dispatch), this, nullptr);
+  g_source_attach(mSource, nullptr);
+}
+
+gboolean UdpSocket::dispatch(GSocket*, GIOCondition, gpointer aSelf)
+{
+  static_cast<UdpSocket*>(aSelf)->receiveBatch();
+  return G_SOURCE_CONTINUE;
+}
+
+void UdpSocket::receiveBatch()
+{
+  std::array<GInputVector, kBatch> vectors{};
+  std::array<GInputMessage, kBatch> messages{};
+  std::array<GSocketAddress*, kBatch> senders{};
+  for (std::size_t i = 0; i < kBatch; ++i) {
+    vectors[i] = { mBuffers[i].data(), mBuffers[i].size() };
+    messages[i] = { &senders[i], &vectors[i], 1, 0, 0, nullptr, nullptr };
+  }
+  const gint count =
+    g_socket_receive_messages(mSocket, messages.data(), kBatch, 0, nullptr, nullptr);
+  for (gint i = 0; i < count; ++i) {
+    const auto index = static_cast<std::size_t>(i);
+    const auto bytes =
+      std::span<const std::byte>(mBuffers[index]).first(messages[index].bytes_received);
+    mReceiver(bytes, toEndpoint(senders[index]));
+    g_object_unref(senders[index]);
+  }
+  flush();
+}
+
+GSocketAddress* UdpSocket::addressOf(flow::Endpoint aEndpoint)
+{
+  const auto found = mAddresses.find(aEndpoint);
+  if (found != mAddresses.end()) {
+    return found->second;
+  }
+  if (mAddresses.size() >= kMaxAddresses) {
+    flush();
+    for (const auto& [endpoint, address] : mAddresses) {
+      g_object_unref(address);
+    }
+    mAddresses.clear();
+  }
+  return mAddresses.emplace(aEndpoint, makeAddress(aEndpoint)).first->second;
+}
+
+void UdpSocket::queue(flow::Endpoint aTo, flow::Bytes aBytes)
+{
+  if (mOutgoing.size() >= kMaxQueued) {
+    flush();
+  }
+  GSocketAddress* address = addressOf(aTo);
+  mOutgoing.push_back({ address, std::move(aBytes) });
+}
+
+void UdpSocket::flush()
+{
+  std::vector<GOutputVector> vectors(mOutgoing.size());
+  std::vector<GOutputMessage> messages(mOutgoing.size());
+  for (std::size_t i = 0; i < mOutgoing.size(); ++i) {
+    vectors[i] = { mOutgoing[i].mBytes.data(), mOutgoing[i].mBytes.size() };
+    messages[i] = { mOutgoing[i].mTo, &vectors[i], 1, 0, nullptr, 0 };
+  }
+  std::size_t sent = 0;
+  while (sent < messages.size()) {
+    const auto left = static_cast<guint>(messages.size() - sent);
+    const gint count = g_socket_send_messages(mSocket, &messages[sent], left, 0, nullptr, nullptr);
+    if (count <= 0) {
+      // The first datagram left was not taken; skip it, as the network might have lost it.
+      ++mSendFailures;
+      ++sent;
+      continue;
+    }
+    sent += static_cast<std::size_t>(count);
+  }
+  mOutgoing.clear();
+}
+
+} // namespace cornelcross::net
--- /dev/null
+++ b/src/net/udp_socket.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "flow/packet_edit.hpp"
+
+#include <functional>
+#include <gio/gio.h>
+#include <unordered_map>
+
+namespace cornelcross::net {
+
+/// @brief UDP socket that receives and sends in batches.
+class UdpSocket
+{
+public:
+  /// @brief Called with each datagram and its sender.
+  using Receiver = std::function<void(std::span<const std::byte>, flow::Endpoint)>;
+
+  /// @brief Binds to aLocal. @throws std::runtime_error if the address can't be bound
+  explicit UdpSocket(flow::Endpoint aLocal);
+  ~UdpSocket();
+  UdpSocket(const UdpSocket&) = delete;
+  UdpSocket& operator=(const UdpSocket&) = delete;
+
+  /// @brief Calls aReceiver for each datagram from the main loop; flushes after each batch.
+  void onDatagram(Receiver aReceiver);
+
+  /// @brief Queues a datagram; it leaves with the next flush().
+  void queue(flow::Endpoint aTo, flow::Bytes aBytes);
+
+  /// @brief Sends what is queued. What the kernel doesn't take is counted and dropped.
+  void flush();
+
+  /// @brief Datagrams that the kernel didn't take.
+  std::uint64_t sendFailures() const { return mSendFailures; }
+
+private:
+  struct Outgoing
+  {
+    GSocketAddress* mTo;
+    flow::Bytes mBytes;
+  };
+
+  static gboolean dispatch(GSocket* aSocket, GIOCondition aCondition, gpointer aSelf);
+  void receiveBatch();
+  GSocketAddress* addressOf(flow::Endpoint aEndpoint);
+
+  GSocket* mSocket = nullptr;
+  GSource* mSource = nullptr;
+  Receiver mReceiver;
+  std::vector<flow::Bytes> mBuffers;
+  std::vector<Outgoing> mOutgoing;
+  std::unordered_map<flow::Endpoint, GSocketAddress*, flow::EndpointHash> mAddresses;
+  std::uint64_t mSendFailures = 0;
+};
+
+} // namespace cornelcross::net
--- /dev/null
+++ b/src/telemetry/event.cpp
@@ -0,0 +1,34 @@
+#include "telemetry/event.hpp"
+
+namespace cornelcross::telemetry {
+
+std::string_view toString(EventKind aKind)
+{
+  switch (aKind) {
+    case EventKind::kProcessStarted:
+      return "process_started";
+    case EventKind::kProcessStopping:
+      return "process_stopping";
+    case EventKind::kProcessStopped:
+      return "process_stopped";
+    case EventKind::kConfigApplied:
+      return "config_applied";
+    case EventKind::kConfigRejected:
+      return "config_rejected";
+    case EventKind::kConfigUnavailable:
+      return "config_unavailable";
+    case EventKind::kFlowOpened:
+      return "flow_opened";
+    case EventKind::kFlowClosed:
+      return "flow_closed";
+    case EventKind::kFlowRefused:
+      return "flow_refused";
+    case EventKind::kFlowAdopted:
+      return "flow_adopted";
+    case EventKind::kPacketDropped:
+      return "packet_dropped";
+  }
+  return "unknown";
+}
+
+} // namespace cornelcross::telemetry
--- /dev/null
+++ b/src/telemetry/event.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cornelcross::telemetry {
+
+/// @brief Every event that a process may log. docs/EVENTS.md lists them with their fields.
+enum class EventKind
+{
+  kProcessStarted,
+  kProcessStopping,
+  kProcessStopped,
+  kConfigApplied,
+  kConfigRejected,
+  kConfigUnavailable,
+  kFlowOpened,
+  kFlowClosed,
+  kFlowRefused,
+  kFlowAdopted,
+  kPacketDropped,
+};
+
+/// @brief Name of the event in a log line.
+std::string_view toString(EventKind aKind);
+
+/// @brief One event with its fields in the order of the log line.
+struct Event
+{
+  EventKind mKind = EventKind::kProcessStarted;
+  std::vector<std::pair<std::string, std::string>> mFields;
+
+  auto operator<=>(const Event&) const = default;
+};
+
+} // namespace cornelcross::telemetry
--- /dev/null
+++ b/src/telemetry/metrics.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace cornelcross::telemetry {
+
+/// @brief Counters and gauges of one process in the Prometheus text format.
+class Metrics
+{
+public:
+  using Labels = std::map<std::string, std::string>;
+
+  /// @brief Counter of this name and labels; made at the first call.
+  prometheus::Counter& counter(const std::string& aName,
+                               const std::string& aHelp,
+                               const Labels& aLabels = {});
+
+  /// @brief Gauge of this name and labels; made at the first call.
+  prometheus::Gauge& gauge(const std::string& aName,
+                           const std::string& aHelp,
+                           const Labels& aLabels = {});
+
+  /// @brief Text exposition of every metric.
+  std::string expose() const;
+
+private:
+  prometheus::Registry mRegistry;
+};
+
+} // namespace cornelcross::telemetry
--- /dev/null
+++ b/src/wire/archive.hpp
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "flow/packet_edit.hpp"
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstring>
+#include <type_traits>
+
+/// @brief Messages between the system's own processes and their encoding.
+namespace cornelcross::wire {
+
+/// @brief cereal archive that appends big-endian integers to a buffer.
+class OutputArchive : public cereal::OutputArchive<OutputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+  explicit OutputArchive(flow::Bytes& aBytes)
+    : cereal::OutputArchive<OutputArchive, cereal::AllowEmptyClassElision>(this), mBytes(aBytes)
+  {
+  }
+
+  /// @brief Appends aValue in network byte order.
+  template<class T>
+  void writeInteger(T aValue)
+  {
+    using Unsigned = std::make_unsigned_t<T>;
+    auto value = static_cast<Unsigned>(aValue);
+    for (std::size_t i = sizeof(T); i-- > 0;) {
+      mBytes.push_back(
+        static_cast<std::byte>((static_cast<std::uint64_t>(value) >> (8U * i)) & 0xFFU));
+    }
+  }
+
+  /// @brief Appends raw bytes.
+  void writeBytes(const void* aData, std::size_t aSize)
+  {
+    const auto* data = static_cast<const std::byte*>(aData);
+    mBytes.insert(mBytes.end(), data, data + aSize);
+  }
+
+private:
+  flow::Bytes& mBytes;
+};
+
+/// @brief Thrown inside a decoder when the input ends early or a length exceeds it.
+struct DecodeFailure : std::exception
+{
+  const char* what() const noexcept override { return "truncated or oversized message"; }
+};
+
+/// @brief cereal archive that reads what OutputArchive wrote and never reads past the end.
+class InputArchive : public cereal::InputArchive<InputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+  explicit InputArchive(std::span<const std::byte> aBytes)
+    : cereal::InputArchive<InputArchive, cereal::AllowEmptyClassElision>(this), mBytes(aBytes)
+  {
+  }
+
+  /// @brief Reads one integer. @throws DecodeFailure at the end of the input
+  template<class T>
+  void readInteger(T& aValue)
+  {
+    const auto bytes = take(sizeof(T));
+    std::uint64_t value = 0;
+    for (const std::byte byte : bytes) {
+      value = (value << 8U) | std::to_integer<std::uint64_t>(byte);
+    }
+    aValue = static_cast<T>(value);
+  }
+
+  /// @brief Reads raw bytes. @throws DecodeFailure at the end of the input
+  void readBytes(void* aData, std::size_t aSize)
+  {
+    const auto bytes = take(aSize);
+    std::memcpy(aData, bytes.data(), aSize);
+  }
+
+  /// @brief Checks a length before anything is allocated for it. Every element takes a byte or
+  /// more.
+  void checkLength(std::uint64_t aLength) const
+  {
+    if (aLength > mBytes.size()) {
+      throw DecodeFailure{};
+    }
+  }
+
+  /// @brief What has not been read yet.
+  std::span<const std::byte> rest() const { return mBytes; }
+
+private:
+  std::span<const std::byte> take(std::size_t aSize)
+  {
+    if (aSize > mBytes.size()) {
+      throw DecodeFailure{};
+    }
+    const auto taken = mBytes.first(aSize);
+    mBytes = mBytes.subspan(aSize);
+    return taken;
+  }
+
+  std::span<const std::byte> mBytes;
+};
+
+template<class T, std::enable_if_t<std::is_integral_v<T>, int> = 0>
+void save(OutputArchive& aArchive, const T& aValue)
+{
+  if constexpr (std::is_same_v<T, bool>) {
+    aArchive.writeInteger(static_cast<std::uint8_t>(aValue));
+  } else {
+    aArchive.writeInteger(aValue);
+  }
+}
+
+template<class T, std::enable_if_t<std::is_integral_v<T>, int> = 0>
+void load(InputArchive& aArchive, T& aValue)
+{
+  if constexpr (std::is_same_v<T, bool>) {
+    std::uint8_t value = 0;
+    aArchive.readInteger(value);
+    aValue = value != 0;
+  } else {
+    aArchive.readInteger(aValue);
+  }
+}
+
+template<class T>
+void save(OutputArchive& aArchive, const cereal::BinaryData<T>& aData)
+{
+  aArchive.writeBytes(aData.data, aData.size);
+}
+
+template<class T>
+void load(InputArchive& aArchive, cereal::BinaryData<T>& aData)
+{
+  aArchive.readBytes(aData.data, aData.size);
+}
+
+template<class T>
+void save(OutputArchive& aArchive, const cereal::SizeTag<T>& aTag)
+{
+  aArchive.writeInteger(static_cast<std::uint32_t>(aTag.size));
+}
+
+template<class T>
+void load(InputArchive& aArchive, cereal::SizeTag<T>& aTag)
+{
+  std::uint32_t size = 0;
+  aArchive.readInteger(size);
+  aArchive.checkLength(size);
+  aTag.size = size;
+}
+
+template<class T>
+void serialize(OutputArchive& aArchive, cereal::NameValuePair<T>& aPair)
+{
+  aArchive(aPair.value);
+}
+
+template<class T>
+void serialize(InputArchive& aArchive, cereal::NameValuePair<T>& aPair)
+{
+  aArchive(aPair.value);
+}
+
+} // namespace cornelcross::wire
+
+CEREAL_REGISTER_ARCHIVE(cornelcross::wire::OutputArchive)
+CEREAL_REGISTER_ARCHIVE(cornelcross::wire::InputArchive)
+CEREAL_SETUP_ARCHIVE_TRAITS(cornelcross::wire::InputArchive, cornelcross::wire::OutputArchive)
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,118 @@
+#include "wire/codec.hpp"
+
+#include "flow/byte_order.hpp"
+#include "wire/archive.hpp"
+
+#include <algorithm>
+
+namespace cornelcross::wire {
+
+namespace {
+
+constexpr std::uint16_t kMagic = 0xC05C;
+constexpr std::uint8_t kVersion = 1;
+constexpr std::size_t kFrameHeader = 12;    // bytes: magic, version, kind, revision
+constexpr std::size_t kTypicalHeader = 128; // bytes
+
+template<class T>
+Message decodeBody(InputArchive& aArchive)
+{
+  T message;
+  aArchive(message);
+  if constexpr (std::is_same_v<T, Forward>) {
+    message.mPacket.assign(aArchive.rest().begin(), aArchive.rest().end());
+  }
+  return message;
+}
+
+template<std::size_t... kIndexes>
+Message decodeKind(std::size_t aKind, InputArchive& aArchive, std::index_sequence<kIndexes...>)
+{
+  using Decoder = Message (*)(InputArchive&);
+  static constexpr Decoder kDecoders[] = {
+    &decodeBody<std::variant_alternative_t<kIndexes, Message>>...
+  };
+  return kDecoders[aKind](aArchive);
+}
+
+bool isValid(const Message& aMessage)
+{
+  const auto* forward = std::get_if<Forward>(&aMessage);
+  return forward == nullptr || (forward->mCandidates.size() <= kMaxCandidates &&
+                                forward->mPosition < forward->mCandidates.size());
+}
+
+} // namespace
+
+std::string_view toString(DecodeError aError)
+{
+  switch (aError) {
+    case DecodeError::kTruncated:
+      return "truncated";
+    case DecodeError::kNotAFrame:
+      return "not_a_frame";
+    case DecodeError::kUnknownVersion:
+      return "unknown_version";
+    case DecodeError::kUnknownKind:
+      return "unknown_kind";
+    case DecodeError::kInvalid:
+      return "invalid";
+    case DecodeError::kTrailingBytes:
+      return "trailing_bytes";
+  }
+  return "unknown";
+}
+
+bool isFrame(std::span<const std::byte> aDatagram)
+{
+  return aDatagram.size() >= 2 && flow::read16(aDatagram, 0) == kMagic;
+}
+
+flow::Bytes encode(const Frame& aFrame)
+{
+  flow::Bytes bytes;
+  const auto* forward = std::get_if<Forward>(&aFrame.mMessage);
+  bytes.reserve(kTypicalHeader + (forward == nullptr ? 0 : forward->mPacket.size()));
+  OutputArchive archive(bytes);
+  archive(kMagic, kVersion, static_cast<std::uint8_t>(aFrame.mMessage.index()), aFrame.mRevision);
+  std::visit([&](const auto& aMessage) { archive(aMessage); }, aFrame.mMessage);
+  if (forward != nullptr) {
+    bytes.insert(bytes.end(), forward->mPacket.begin(), forward->mPacket.end());
+  }
+  return bytes;
+}
+
+std::variant<Frame, DecodeError> decode(std::span<const std::byte> aDatagram)
+{
+  if (!isFrame(aDatagram)) {
+    return DecodeError::kNotAFrame;
+  }
+  if (aDatagram.size() < kFrameHeader) {
+    return DecodeError::kTruncated;
+  }
+  if (flow::read8(aDatagram, 2) != kVersion) {
+    return DecodeError::kUnknownVersion;
+  }
+  const std::size_t kind = flow::read8(aDatagram, 3);
+  if (kind >= std::variant_size_v<Message>) {
+    return DecodeError::kUnknownKind;
+  }
+  Frame frame;
+  InputArchive archive(aDatagram.subspan(4));
+  try {
+    archive(frame.mRevision);
+    frame.mMessage =
+      decodeKind(kind, archive, std::make_index_sequence<std::variant_size_v<Message>>{});
+  } catch (const std::exception&) {
+    return DecodeError::kTruncated;
+  }
+  if (!isValid(frame.mMessage)) {
+    return DecodeError::kInvalid;
+  }
+  if (!std::holds_alternative<Forward>(frame.mMessage) && !archive.rest().empty()) {
+    return DecodeError::kTrailingBytes;
+  }
+  return frame;
+}
+
+} // namespace cornelcross::wire
--- /dev/null
+++ b/src/wire/load_report.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace cornelcross::wire {
+
+/// @brief Load of one upstream, told by its agent to the other agents of the service.
+struct LoadReport
+{
+  std::uint64_t mUpstream = 0; ///< identity of the upstream
+  std::uint32_t mBusy = 0;     ///< flows with a request in progress
+  std::uint32_t mLimit = 0;    ///< requests that the agent admits at once now
+  std::uint32_t mFlows = 0;    ///< open flows
+
+  auto operator<=>(const LoadReport&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mUpstream, mBusy, mLimit, mFlows);
+  }
+};
+
+} // namespace cornelcross::wire
--- /dev/null
+++ b/tests/fakes/caller/main.cpp
@@ -0,0 +1,57 @@
+#include "base/settings.hpp"
+#include "fakes/caller/workload.hpp"
+#include "fakes/common/record.hpp"
+
+#include <gflags/gflags.h>
+#include <iostream>
+#include <thread>
+
+DEFINE_string(listen, "", "ADDRESS:PORT where IP packets arrive in UDP from the fabric");
+DEFINE_string(fabric, "", "ADDRESS:PORT of the fabric");
+DEFINE_string(sources, "", "comma-separated addresses of callers");
+DEFINE_string(load, "", "KIND@ADDRESS:PORT*RATE;... sessions a second");
+DEFINE_uint32(seconds, 10, "seconds during which sessions start");
+DEFINE_uint32(grace_seconds, 60, "seconds that the last sessions may take");
+DEFINE_uint32(deadline_ms, 30000, "milliseconds within which an answer must come");
+DEFINE_uint64(seed, 1, "seed of the random choices");
+DEFINE_string(name, "caller", "name in records");
+
+int main(int aArgc, char** aArgv)
+{
+  using namespace cornelcross;
+  base::SettingsCheck check(base::parseSettings(&aArgc, &aArgv, "Callers over lwIP."));
+  const auto listen = check.endpoint("listen", FLAGS_listen);
+  const auto fabric = check.endpoint("fabric", FLAGS_fabric);
+  const auto streams = fakes::parseLoad(FLAGS_load);
+  const auto sources = fakes::parseSources(FLAGS_sources);
+  check.require(!streams.empty(), "--load: expected KIND@ADDRESS:PORT*RATE;...");
+  check.require(!sources.empty(), "--sources: expected a list of addresses");
+  if (check.report()) {
+    return base::kExitInvalidSettings;
+  }
+  fakes::LwipStack stack(listen, fabric);
+  for (const auto& source : sources) {
+    stack.addAddress(source);
+  }
+  stack.start();
+  fakes::Workload workload({ FLAGS_name, sources, streams, FLAGS_deadline_ms, FLAGS_seed });
+  fakes::LwipStack::run([&] { workload.start(); });
+  std::this_thread::sleep_for(std::chrono::seconds(FLAGS_seconds));
+  fakes::LwipStack::run([&] { workload.stop(); });
+  for (unsigned i = 0; i < FLAGS_grace_seconds * 10 && workload.tally().mOpen > 0; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  const fakes::Tally& tally = workload.tally();
+  fakes::record(FLAGS_name,
+                "caller_summary",
+                { { "flows", std::to_string(tally.mFlows) },
+                  { "answered", std::to_string(tally.mAnswered) },
+                  { "refused", std::to_string(tally.mRefused) },
+                  { "unanswered", std::to_string(tally.mUnanswered) },
+                  { "broken", std::to_string(tally.mBroken) },
+                  { "incomplete", std::to_string(tally.mIncomplete) },
+                  { "shed", std::to_string(tally.mShed) },
+                  { "open", std::to_string(tally.mOpen) } });
+  std::cout.flush();
+  std::_Exit(0); // lwIP's threads have no end of their own
+}
--- /dev/null
+++ b/tests/fakes/common/lwip_stack.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "flow/packet_edit.hpp"
+
+#include <functional>
+#include <lwip/netif.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cornelcross::fakes {
+
+/// @brief A TCP stack (lwIP) whose IP packets travel in UDP datagrams.
+///
+/// All of its callbacks run in lwIP's thread. Initial sequence numbers are shifted by a secret of
+/// the flow, since lwIP's own are nearly the same in every process and real stacks' are not
+/// (RFC 6528).
+class LwipStack
+{
+public:
+  /// @param aListen where packets for this stack arrive in UDP
+  /// @param aPeer   where its packets are sent
+  LwipStack(flow::Endpoint aListen, flow::Endpoint aPeer);
+  LwipStack(const LwipStack&) = delete;
+  LwipStack& operator=(const LwipStack&) = delete;
+
+  /// @brief Adds an address that the stack answers for.
+  void addAddress(flow::Ipv4Address aAddress);
+
+  /// @brief Starts receiving; call once all addresses are added.
+  void start();
+
+  /// @brief Runs aTask in lwIP's thread and waits for it.
+  static void run(const std::function<void()>& aTask);
+
+  /// @brief Runs aTask in lwIP's thread after aMilliseconds; call from that thread.
+  static void after(unsigned aMilliseconds, std::function<void()> aTask);
+
+private:
+  static err_t output(netif* aNetif, pbuf* aBuffer, const ip4_addr_t* aTo);
+  static err_t initialize(netif* aNetif);
+  void send(pbuf* aBuffer);
+  void receive();
+  std::uint32_t shiftOf(const flow::FlowKey& aFlow) const;
+
+  int mSocket;
+  flow::Endpoint mPeer;
+  std::uint64_t mSecret;
+  std::vector<std::unique_ptr<netif>> mInterfaces;
+};
+
+} // namespace cornelcross::fakes
--- /dev/null
+++ b/tests/fakes/config_service/main.cpp
@@ -0,0 +1,38 @@
+#include "base/settings.hpp"
+#include "fakes/config_service/service.hpp"
+#include "net/main_loop.hpp"
+
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+DEFINE_string(listen, "", "ADDRESS:PORT");
+DEFINE_string(documents, "", "JSON file {KEY: VALUE} to publish at the start");
+DEFINE_string(name, "config", "name in records");
+
+int main(int aArgc, char** aArgv)
+{
+  using namespace cornelcross;
+  base::SettingsCheck check(base::parseSettings(&aArgc, &aArgv, "Fake configuration service."));
+  const auto listen = check.endpoint("listen", FLAGS_listen);
+  if (check.report()) {
+    return base::kExitInvalidSettings;
+  }
+  net::MainLoop loop;
+  fakes::ConfigService service(listen, FLAGS_name);
+  if (!FLAGS_documents.empty()) {
+    std::ifstream file(FLAGS_documents);
+    const auto documents = nlohmann::json::parse(file, nullptr, false);
+    if (!documents.is_object()) {
+      std::cerr << "error: " << FLAGS_documents << ": expected a JSON object\n";
+      return 1;
+    }
+    for (const auto& document : documents.items()) {
+      service.publish(document.key(), document.value().dump());
+    }
+  }
+  loop.onTerminate([&] { loop.quit(); });
+  loop.run();
+  return 0;
+}
--- /dev/null
+++ b/tests/fakes/config_service/service.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "flow/endpoint.hpp"
+
+#include <libsoup/soup.h>
+#include <list>
+#include <map>
+#include <string>
+
+namespace cornelcross::fakes {
+
+/// @brief Fake configuration service. Readers: GET /v1/documents?after=REVISION&wait=SECONDS.
+/// Operators: PUT or DELETE /v1/documents/KEY. Tests: PUT /control/mode with "up", "down" (answers
+/// 503), "silent" (never answers), "slow" (answers a second late) or "stale" (answers as it was
+/// when this mode began).
+class ConfigService
+{
+public:
+  ConfigService(flow::Endpoint aListen, std::string aName);
+  ~ConfigService();
+  ConfigService(const ConfigService&) = delete;
+  ConfigService& operator=(const ConfigService&) = delete;
+
+  /// @brief Publishes a document under a new revision.
+  std::uint64_t publish(const std::string& aKey, const std::string& aValue);
+
+private:
+  struct Entry
+  {
+    std::uint64_t mRevision = 0;
+    std::string mValue; ///< JSON; "null" for a tombstone
+  };
+
+  struct Snapshot
+  {
+    std::uint64_t mRevision = 0;
+    std::map<std::string, Entry> mEntries;
+  };
+
+  struct Waiter
+  {
+    ConfigService* mOwner;
+    SoupServerMessage* mMessage;
+    std::uint64_t mAfter;
+    guint mTimer;
+    gulong mFinished;
+  };
+
+  static void onDocuments(SoupServer* aServer,
+                          SoupServerMessage* aMessage,
+                          const char* aPath,
+                          GHashTable* aQuery,
+                          gpointer aSelf);
+  static void onControl(SoupServer* aServer,
+                        SoupServerMessage* aMessage,
+                        const char* aPath,
+                        GHashTable* aQuery,
+                        gpointer aSelf);
+  static gboolean onWaitOver(gpointer aWaiter);
+  static void onFinished(SoupServerMessage* aMessage, gpointer aWaiter);
+  void read(SoupServerMessage* aMessage, GHashTable* aQuery);
+  void answer(SoupServerMessage* aMessage, std::uint64_t aAfter) const;
+  void wait(SoupServerMessage* aMessage, std::uint64_t aAfter, unsigned aSeconds);
+  void wake();
+  void release(Waiter* aWaiter);
+  const Snapshot& visible() const { return mMode == "stale" ? mStale : mCurrent; }
+
+  std::string mName;
+  SoupServer* mServer;
+  std::string mMode = "up";
+  Snapshot mCurrent;
+  Snapshot mStale;
+  std::list<Waiter*> mWaiters;
+  std::uint64_t mCalls = 0;
+};
+
+} // namespace cornelcross::fakes
--- /dev/null
+++ b/tests/unit/test_agent_decisions.cpp
@@ -0,0 +1,177 @@
+#include "agent/decisions.hpp"
+#include "test_configuration.hpp"
+#include "test_packets.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace cornelcross::test;
+
+namespace {
+
+const flow::Endpoint kCaller = *flow::Endpoint::parse("10.1.1.1:40000");
+constexpr std::uint32_t kCallerInitial = 1000;
+constexpr std::uint32_t kUpstreamInitial = 500000;
+
+/// An agent of the first of three upstreams.
+struct Fixture
+{
+  Fixture() : mAgent({ .mSelf = agentOf(0) }) { mAgent.apply(mNow, share(makeConfiguration(3))); }
+
+  wire::Forward forward(const Segment& aSegment, std::uint8_t aPosition = 0) const
+  {
+    wire::Forward forward;
+    forward.mIngress = *flow::Endpoint::parse("127.0.1.1:7000");
+    forward.mService = config::upstreamIdentity("logbook", "");
+    forward.mPosition = aPosition;
+    forward.mIsComplete = true;
+    forward.mCandidates = { agentOf(0), agentOf(1), agentOf(2) };
+    std::swap(forward.mCandidates[0], forward.mCandidates[aPosition]);
+    forward.mPacket = makePacket(aSegment);
+    return forward;
+  }
+
+  agent::Actions fromCaller(std::uint8_t aFlags,
+                            std::uint32_t aSequence,
+                            std::uint32_t aAcknowledgement,
+                            std::size_t aPayload = 0,
+                            std::uint8_t aPosition = 0)
+  {
+    return mAgent.onForward(
+      mNow,
+      mAgent.revision(),
+      forward({ kCaller, kServiceAddress, aFlags, aSequence, aAcknowledgement, aPayload },
+              aPosition));
+  }
+
+  agent::Actions fromUpstream(std::uint8_t aFlags,
+                              std::uint32_t aSequence,
+                              std::uint32_t aAcknowledgement,
+                              std::size_t aPayload = 0)
+  {
+    return mAgent.onUpstreamPacket(
+      mNow,
+      makePacket({ kServiceAddress, kCaller, aFlags, aSequence, aAcknowledgement, aPayload }));
+  }
+
+  void establish()
+  {
+    fromCaller(flow::kSyn, kCallerInitial, 0);
+    fromUpstream(flow::kSyn | flow::kAck, kUpstreamInitial, kCallerInitial + 1);
+    fromCaller(flow::kAck, kCallerInitial + 1, kUpstreamInitial + 1);
+  }
+
+  base::Time mNow{ std::chrono::seconds(100) };
+  agent::Decisions mAgent;
+};
+
+template<class T>
+const T* findAction(const agent::Actions& aActions)
+{
+  for (const auto& action : aActions) {
+    if (const auto* found = std::get_if<T>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(agent_decisions, Fixture)
+
+BOOST_AUTO_TEST_CASE(admits_a_new_flow_and_delivers_its_segments)
+{
+  const auto opened = fromCaller(flow::kSyn, kCallerInitial, 0);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(opened) != nullptr);
+  fromUpstream(flow::kSyn | flow::kAck, kUpstreamInitial, kCallerInitial + 1);
+  const auto delivered = fromCaller(flow::kAck, kCallerInitial + 1, kUpstreamInitial + 1, 10);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(delivered) != nullptr);
+  BOOST_TEST(mAgent.admission().busy() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(strips_data_from_a_syn)
+{
+  const auto opened = fromCaller(flow::kSyn, kCallerInitial, 0, 100);
+  const auto* delivered = findAction<agent::DeliverToUpstream>(opened);
+  BOOST_REQUIRE(delivered != nullptr);
+  BOOST_TEST(flow::TcpPacket::parse(delivered->mPacket)->mPayloadLength == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(passes_a_segment_without_a_record_to_the_next_candidate)
+{
+  const auto passed = fromCaller(flow::kAck, 1, 2);
+  const auto* message = findAction<agent::SendMessage>(passed);
+  BOOST_REQUIRE(message != nullptr);
+  BOOST_TEST(message->mTo.toString() == agentOf(1).toString());
+}
+
+BOOST_AUTO_TEST_CASE(gives_a_half_open_flow_up_when_the_acknowledgement_is_for_another_upstream)
+{
+  fromCaller(flow::kSyn, kCallerInitial, 0);
+  fromUpstream(flow::kSyn | flow::kAck, kUpstreamInitial, kCallerInitial + 1);
+  const auto actions = fromCaller(flow::kAck, kCallerInitial + 1, 77);
+  const auto* reset = findAction<agent::DeliverToUpstream>(actions);
+  BOOST_REQUIRE(reset != nullptr);
+  BOOST_TEST(flow::TcpPacket::parse(reset->mPacket)->has(flow::kRst));
+  BOOST_TEST(findAction<agent::SendMessage>(actions) != nullptr);
+  BOOST_TEST(mAgent.flows().size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(resets_an_unowned_segment_only_when_every_candidate_denied_it)
+{
+  const auto denied = fromCaller(flow::kAck, 1, 2, 0, 2);
+  BOOST_TEST(findAction<agent::SendToCaller>(denied) != nullptr);
+  auto incomplete = forward({ kCaller, kServiceAddress, flow::kAck, 1, 2 }, 2);
+  incomplete.mIsUnanimous = false;
+  const auto dropped = mAgent.onForward(mNow, mAgent.revision(), incomplete);
+  BOOST_TEST(findAction<agent::SendToCaller>(dropped) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_a_syn_at_the_end_of_the_chain)
+{
+  auto configuration = makeConfiguration(3, 2);
+  configuration.mServices.at("logbook").mUpstreams[0].mState = config::UpstreamState::kLeaving;
+  mAgent.apply(mNow, share(configuration));
+  const auto refused = fromCaller(flow::kSyn, kCallerInitial, 0, 0, 2);
+  const auto* reset = findAction<agent::SendToCaller>(refused);
+  BOOST_REQUIRE(reset != nullptr);
+  BOOST_TEST(flow::TcpPacket::parse(reset->mPacket)->has(flow::kRst));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_established_flows_while_its_upstream_is_leaving)
+{
+  establish();
+  auto configuration = makeConfiguration(3, 2);
+  configuration.mServices.at("logbook").mUpstreams[0].mState = config::UpstreamState::kLeaving;
+  mAgent.apply(mNow, share(configuration));
+  const auto delivered = fromCaller(flow::kAck, kCallerInitial + 1, kUpstreamInitial + 1, 5);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(delivered) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(drops_a_packet_for_a_foreign_service)
+{
+  auto foreign = forward({ kCaller, *flow::Endpoint::parse("198.51.100.11:80"), flow::kSyn, 1, 0 });
+  const auto actions = mAgent.onForward(mNow, 1, foreign);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(actions) == nullptr);
+  BOOST_REQUIRE(findAction<agent::DropPacket>(actions) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(drops_everything_once_its_zone_is_out)
+{
+  establish();
+  auto configuration = makeConfiguration(3, 2);
+  configuration.mZones.emplace("a", config::AvailabilityZone{ "a", false });
+  mAgent.apply(mNow, share(configuration));
+  const auto actions = fromCaller(flow::kAck, kCallerInitial + 1, kUpstreamInitial + 1, 5);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(actions) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(never_goes_back_to_a_lower_revision)
+{
+  mAgent.apply(mNow, share(makeConfiguration(3, 5)));
+  mAgent.apply(mNow, share(makeConfiguration(2, 4)));
+  BOOST_TEST(mAgent.revision() == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/test_document_store.cpp
@@ -0,0 +1,60 @@
+#include "config/document_store.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+
+namespace {
+
+const std::string kZonesIn = R"({"zones": [{"name": "a", "state": "in"}]})";
+const std::string kZonesOut = R"({"zones": [{"name": "a", "state": "out"}]})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(document_store)
+
+BOOST_AUTO_TEST_CASE(keeps_the_accepted_document_when_a_newer_one_is_faulty)
+{
+  config::DocumentStore store;
+  store.merge(1, { { "zones", 1, kZonesOut } });
+  const auto errors =
+    store.merge(2, { { "zones", 2, R"({"zones": [{"name": "a", "state": "?"}]})" } });
+  BOOST_REQUIRE(errors.size() == 1U);
+  BOOST_TEST(errors[0].toString() == "zones.zones[0].state: expected \"in\" or \"out\"");
+  BOOST_TEST(!store.configuration()->zoneIsIn("a"));
+  BOOST_TEST(store.revision() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(never_reverts_whatever_the_order_of_arrival)
+{
+  config::DocumentStore store;
+  store.merge(5, { { "zones", 5, kZonesOut } });
+  store.merge(3, { { "zones", 3, kZonesIn } });
+  BOOST_TEST(!store.configuration()->zoneIsIn("a"));
+  BOOST_TEST(store.revision() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(lists_what_is_newer_than_a_revision_with_tombstones)
+{
+  config::DocumentStore store;
+  store.merge(1, { { "zones", 1, kZonesIn } });
+  store.merge(2, { { "zones", 2, std::nullopt } });
+  const auto documents = store.documentsAfter(1);
+  BOOST_REQUIRE(documents.size() == 1U);
+  BOOST_TEST(!documents[0].mText.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(names_every_fault_of_a_service_with_its_path)
+{
+  config::DocumentStore store;
+  const auto errors =
+    store.merge(1,
+                { { "service/x",
+                    1,
+                    R"({"address": "nowhere", "upstreams": [{"name": "u", "agent": "127.0.0.1:1",
+          "address": "127.0.0.1:2", "zone": "a", "slots": 0, "state": "up", "extra": 1}]})" } });
+  BOOST_TEST(errors.size() == 4U);
+  BOOST_TEST(store.configuration()->mServices.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
