--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -4,7 +4,10 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(listen, "", "ADDRESS:PORT of this agent as the configuration lists it");
+DEFINE_string(listen, "", "ADDRESS:PORT to receive on");
+DEFINE_string(advertise,
+              "",
+              "ADDRESS:PORT of this agent as the configuration lists it; --listen if empty");
 DEFINE_string(admin, "", "ADDRESS:PORT for /metrics, /status and /healthz");
 DEFINE_string(config_service, "", "ADDRESS:PORT of the configuration service");
 DEFINE_string(fabric, "", "ADDRESS:PORT to which IP packets for callers are sent in UDP");
@@ -19,7 +22,9 @@
   base::SettingsCheck check(
     base::parseSettings(&aArgc, &aArgv, "Owns the flows of the upstream beside it."));
   agent::ShellSettings settings;
-  settings.mAgent.mSelf = check.endpoint("listen", FLAGS_listen);
+  settings.mListen = check.endpoint("listen", FLAGS_listen);
+  settings.mAgent.mSelf =
+    FLAGS_advertise.empty() ? settings.mListen : check.endpoint("advertise", FLAGS_advertise);
   settings.mAgent.mMaxFlows = FLAGS_max_flows;
   settings.mAgent.mMaxSegment = static_cast<std::uint16_t>(FLAGS_max_segment);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -21,7 +21,7 @@
   : mSettings(aSettings)
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAgent)
-  , mSocket(aSettings.mAgent.mSelf)
+  , mSocket(aSettings.mListen)
   , mConfig(aSettings.mConfigService,
             mLog,
             [this](config::ConfigurationPtr aConfiguration) {
@@ -49,7 +49,7 @@
     mSocket.flush();
   });
   mLog.write(
-    { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mAgent.mSelf.toString() } } });
+    { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
   mConfig.start();
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -12,7 +12,8 @@
 /// @brief Settings of an agent process.
 struct ShellSettings
 {
-  AgentSettings mAgent;          ///< settings of the decisions; mSelf is where it listens
+  AgentSettings mAgent;          ///< settings of the decisions
+  flow::Endpoint mListen;        ///< datagrams from balancers, agents and the upstream
   flow::Endpoint mAdmin;         ///< HTTP for metrics, status and health
   flow::Endpoint mConfigService; ///< configuration service
   flow::Endpoint mFabric;        ///< where IP packets for callers are sent
--- a/src/balancer/main.cpp
+++ b/src/balancer/main.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 
 DEFINE_string(listen, "", "ADDRESS:PORT for IP packets in UDP from the fabric and for agents");
+DEFINE_string(advertise, "", "ADDRESS:PORT at which others reach this process; --listen if empty");
 DEFINE_string(admin, "", "ADDRESS:PORT for /metrics, /status and /healthz");
 DEFINE_string(config_service, "", "ADDRESS:PORT of the configuration service");
 DEFINE_string(name, "balancer", "name of this process in logs");
@@ -17,6 +18,8 @@
     base::parseSettings(&aArgc, &aArgv, "Hands packets of callers to agents."));
   balancer::BalancerSettings settings;
   settings.mListen = check.endpoint("listen", FLAGS_listen);
+  settings.mAdvertise =
+    FLAGS_advertise.empty() ? settings.mListen : check.endpoint("advertise", FLAGS_advertise);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
   settings.mConfigService = check.endpoint("config_service", FLAGS_config_service);
   settings.mName = FLAGS_name;
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -7,7 +7,7 @@
 Shell::Shell(const BalancerSettings& aSettings)
   : mSettings(aSettings)
   , mLog(aSettings.mName)
-  , mDecisions(aSettings.mListen, aSettings.mCacheCapacity)
+  , mDecisions(aSettings.mAdvertise, aSettings.mCacheCapacity)
   , mSocket(aSettings.mListen)
   , mConfig(aSettings.mConfigService,
             mLog,
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -13,6 +13,7 @@
 struct BalancerSettings
 {
   flow::Endpoint mListen;         ///< IP in UDP from the fabric, messages from agents
+  flow::Endpoint mAdvertise;      ///< where agents reach this balancer
   flow::Endpoint mAdmin;          ///< HTTP for metrics, status and health
   flow::Endpoint mConfigService;  ///< configuration service
   std::size_t mCacheCapacity = 0; ///< flows per generation of the owner cache
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -96,7 +96,9 @@
     return;
   }
   for (std::size_t i = 0; i < found->size(); ++i) {
-    aVisit((*found)[i], aPath + "." + aName + "[" + std::to_string(i) + "]");
+    std::string path = aPath;
+    path.append(".").append(aName).append("[").append(std::to_string(i)).append("]");
+    aVisit((*found)[i], path);
   }
 }
 
--- a/src/net/main_loop.cpp
+++ b/src/net/main_loop.cpp
@@ -69,7 +69,7 @@
                      &destroyCallback);
 }
 
-void MainLoop::onTerminate(std::function<void()> aCallback)
+void MainLoop::onTerminate(const std::function<void()>& aCallback)
 {
   for (const int signal : { SIGTERM, SIGINT }) {
     g_unix_signal_add_full(
--- a/src/net/main_loop.hpp
+++ b/src/net/main_loop.hpp
@@ -31,7 +31,7 @@
   void after(base::Duration aDelay, std::function<void()> aCallback);
 
   /// @brief Calls aCallback on each SIGTERM or SIGINT.
-  void onTerminate(std::function<void()> aCallback);
+  void onTerminate(const std::function<void()>& aCallback);
 
   /// @brief Monotonic time now.
   static base::Time now();
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -46,7 +46,7 @@
   line += " event=";
   line += toString(aEvent.mKind);
   for (const auto& [name, value] : aEvent.mFields) {
-    line += " " + name + "=" + quote(value);
+    line.append(" ").append(name).append("=").append(quote(value));
   }
   return line;
 }
--- a/tests/fakes/common/record.cpp
+++ b/tests/fakes/common/record.cpp
@@ -12,7 +12,7 @@
   std::string line =
     "time_us=" + std::to_string(microseconds) + " process=" + aProcess + " event=" + aEvent;
   for (const auto& [name, value] : aFields) {
-    line += " " + name + "=" + value;
+    line.append(" ").append(name).append("=").append(value);
   }
   line += '\n';
   std::fwrite(line.data(), 1, line.size(), stdout);
--- a/tests/fakes/fabric/relay.cpp
+++ b/tests/fakes/fabric/relay.cpp
@@ -16,12 +16,12 @@
   if (!packet) {
     return;
   }
-  flow::Bytes bytes(aDatagram.begin(), aDatagram.end());
+  const flow::Bytes bytes(aDatagram.begin(), aDatagram.end());
   // An address that was dialled is a service; packets from it travel to callers.
   if (mServices.count(packet->mSource.mAddress.mValue) != 0) {
     const auto caller = mCallers.find(packet->mDestination.mAddress.mValue);
     if (caller != mCallers.end()) {
-      send(caller->second, std::move(bytes));
+      send(caller->second, bytes);
     }
     return;
   }
@@ -29,7 +29,7 @@
   mServices.insert(packet->mDestination.mAddress.mValue);
   if (!mBalancers.empty()) {
     std::uniform_int_distribution<std::size_t> pick(0, mBalancers.size() - 1);
-    send(mBalancers[pick(mRandom)], std::move(bytes));
+    send(mBalancers[pick(mRandom)], bytes);
   }
 }
 
@@ -38,7 +38,7 @@
   return aProbability > 0 && std::uniform_real_distribution<>(0, 1)(mRandom) < aProbability;
 }
 
-void Relay::send(flow::Endpoint aTo, flow::Bytes aPacket)
+void Relay::send(flow::Endpoint aTo, const flow::Bytes& aPacket)
 {
   if (happens(mQuality.mLoss)) {
     return;
--- a/tests/fakes/fabric/relay.hpp
+++ b/tests/fakes/fabric/relay.hpp
@@ -37,7 +37,7 @@
 
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
-  void send(flow::Endpoint aTo, flow::Bytes aPacket);
+  void send(flow::Endpoint aTo, const flow::Bytes& aPacket);
   bool happens(double aProbability);
 
   net::MainLoop& mLoop;
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -1,6 +1,6 @@
 #include "agent/decisions.hpp"
-#include "test_configuration.hpp"
-#include "test_packets.hpp"
+#include "unit/support/configuration.hpp"
+#include "unit/support/packets.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/test_rendezvous.cpp
+++ b/tests/unit/test_rendezvous.cpp
@@ -1,5 +1,5 @@
 #include "routing/rendezvous.hpp"
-#include "test_configuration.hpp"
+#include "unit/support/configuration.hpp"
 
 #include <boost/test/unit_test.hpp>
 
