Route around agents that fall silent

Cause: nothing watched whether a candidate answers. A dead agent was handed the packets of its ranks for good, and one in the middle of a chain swallowed those for the owners behind it.

Ruled out: an acknowledgement of each forwarded packet (doubles the datagrams of the data path); a heartbeat to every agent (does not fit 20 KB/s at 21,000 agents).

Change: membership::FailureDetector watches only peers in use. One that gives no sign of life for a second is probed; three unanswered probes 250 ms apart make it a suspect, which is asked last and probed once a second until it answers or is out of demand for 30 s. At most 100 probes a second leave a process. agent::Chain (taken out of Decisions) passes suspects over; at the end each gets a copy of its own and the chain goes on without it, so that it swallows nothing. A suspect's denial is assumed after 60 s, so that an unowned flow ends with RST. The chain also goes on past the 15 candidates of a Forward: the agent at a chunk's end computes the next one.

Tests: findAction of test_agent_decisions moved to unit/support/actions.hpp unchanged.

At 3,500 balancers each must find out on its own; sharing suspicions is left.

--- /dev/null
+++ b/src/agent/chain.cpp
@@ -0,0 +1,108 @@
+#include "agent/chain.hpp"
+
+#include "flow/run_verdict.hpp"
+#include "routing/candidates.hpp"
+
+#include <utility>
+
+namespace cornelcross::agent {
+
+namespace {
+
+/// Chunks that a SYN may visit: a service that is full as a whole is not asked as a whole for each
+/// new flow.
+constexpr std::uint16_t kMaxOpeningChunks = 4;
+
+} // namespace
+
+void Chain::configure(config::ConfigurationPtr aConfiguration, const config::Service* aService)
+{
+  mConfiguration = std::move(aConfiguration);
+  mService = aService;
+}
+
+Actions Chain::pass(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward) const
+{
+  Actions actions;
+  std::size_t next = aForward.mPosition + std::size_t{ 1 };
+  for (;;) {
+    const std::size_t left = aForward.mCandidates.size() - next;
+    const std::size_t suspects = mPeers.deferSuspects(aForward.mCandidates, next);
+    if (suspects < left) {
+      const flow::Endpoint agent = aForward.mCandidates[next];
+      mPeers.noteUse(aNow, agent);
+      aForward.mPosition = static_cast<std::uint8_t>(next);
+      actions.emplace_back(SendMessage{ agent, std::move(aForward) });
+      return actions;
+    }
+    askSuspects(aNow, next, aForward, actions);
+    if (!takeNextChunk(aPacket, aForward)) {
+      break;
+    }
+    next = 0;
+  }
+  for (Action& action : end(aPacket, aForward)) {
+    actions.push_back(std::move(action));
+  }
+  return actions;
+}
+
+void Chain::askSuspects(base::Time aNow,
+                        std::size_t aFirst,
+                        wire::Forward& aForward,
+                        Actions& aActions) const
+{
+  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  for (std::size_t i = aFirst; i < aForward.mCandidates.size(); ++i) {
+    const flow::Endpoint suspect = aForward.mCandidates[i];
+    mPeers.noteUse(aNow, suspect);
+    // Its silence would swallow the packet for those behind it: it gets a copy and the chain goes
+    // on. Not so with a SYN, which two upstreams would answer.
+    if (mPeers.isDead(aNow, suspect) || packet->opensFlow()) {
+      continue;
+    }
+    aForward.mIsUnanimous = false;
+    wire::Forward copy = aForward;
+    copy.mCandidates = { suspect };
+    copy.mPosition = 0;
+    copy.mIsComplete = true;
+    aActions.emplace_back(SendMessage{ suspect, std::move(copy) });
+  }
+}
+
+bool Chain::takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
+{
+  if (aForward.mIsComplete || mService == nullptr) {
+    return false;
+  }
+  if (aPacket.opensFlow() && aForward.mChunk + 1 >= kMaxOpeningChunks) {
+    return false;
+  }
+  const auto all =
+    routing::candidates(*mConfiguration, *mService, aPacket.keyFromCaller(), aPacket.opensFlow());
+  ++aForward.mChunk;
+  aForward.mCandidates = routing::chunkOf(all, aForward.mChunk);
+  aForward.mIsComplete = routing::isLastChunk(all, aForward.mChunk);
+  return !aForward.mCandidates.empty();
+}
+
+Actions Chain::end(const flow::TcpPacket& aPacket, const wire::Forward& aForward)
+{
+  if (aPacket.has(flow::kRst)) {
+    return { DropPacket{ DropReason::kNoOwner } };
+  }
+  if (aPacket.opensFlow()) {
+    // True under any configuration: no upstream was given this SYN.
+    return { SendToCaller{ flow::makeReset(aPacket) },
+             telemetry::Event{
+               telemetry::EventKind::kFlowRefused,
+               { { "flow", aPacket.keyFromCaller().toString() },
+                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) } } } };
+  }
+  if (!aForward.mIsUnanimous || !aForward.mIsComplete) {
+    return { DropPacket{ DropReason::kNoOwner } };
+  }
+  return { SendToCaller{ flow::makeReset(aPacket) } };
+}
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/chain.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "agent/actions.hpp"
+#include "config/configuration.hpp"
+#include "membership/failure_detector.hpp"
+
+namespace cornelcross::agent {
+
+/// @brief Takes a caller's packet on along the candidates for its flow, past suspected agents.
+class Chain
+{
+public:
+  /// @param aPeers which agents answer; outlives this object
+  explicit Chain(membership::FailureDetector& aPeers) : mPeers(aPeers) {}
+
+  /// @brief Adopts the configuration and the service in it, which must be part of it.
+  void configure(config::ConfigurationPtr aConfiguration, const config::Service* aService);
+
+  /// @brief Sends the packet to the next candidate, or ends the chain: a SYN that no upstream took
+  /// is refused; any other packet is answered with RST if every candidate denied the flow.
+  Actions pass(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward) const;
+
+private:
+  bool takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
+  void askSuspects(base::Time aNow,
+                   std::size_t aFirst,
+                   wire::Forward& aForward,
+                   Actions& aActions) const;
+  static Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward);
+
+  membership::FailureDetector& mPeers;
+  config::ConfigurationPtr mConfiguration;
+  const config::Service* mService = nullptr;
+};
+
+} // namespace cornelcross::agent
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -30,6 +30,7 @@
   : mSettings(aSettings)
   , mConfiguration(std::make_shared<const config::Configuration>())
   , mAdmission(aSettings.mMaxFlows)
+  , mChain(mPeers)
 {
 }
 
@@ -40,6 +41,7 @@
   }
   mConfiguration = std::move(aConfiguration);
   mUpstream.reset();
+  mChain.configure(mConfiguration, nullptr);
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
       if (upstream.mAgent == mSettings.mSelf) {
@@ -47,6 +49,7 @@
         mServiceAddress = service.mAddress;
         mService = config::upstreamIdentity(name, "");
         mAdmission.configure(upstream.mSlots);
+        mChain.configure(mConfiguration, &service);
       }
     }
   }
@@ -100,7 +103,7 @@
 {
   const bool isEligible = mConfiguration->mayOpen(*mUpstream);
   if (!isEligible || mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
-    return pass(aPacket, std::move(aForward));
+    return mChain.pass(aNow, aPacket, std::move(aForward));
   }
   FlowRecord record;
   record.mCallerInitial = aPacket.mSequence;
@@ -128,7 +131,7 @@
   const flow::FlowKey key = aPacket.keyFromCaller();
   FlowRecord* record = mFlows.find(key);
   if (record == nullptr) {
-    return pass(aPacket, std::move(aForward));
+    return mChain.pass(aNow, aPacket, std::move(aForward));
   }
   const bool fits =
     !aPacket.has(flow::kAck) || acknowledgementFits(*record, aPacket.mAcknowledgement);
@@ -139,7 +142,7 @@
     const bool isReset = aPacket.has(flow::kRst) && aPacket.mSequence == record->mCallerInitial + 1;
     if (!isOwned && !isReset) {
       Actions actions = abandonHalfOpen(aNow, key, *record);
-      Actions passed = pass(aPacket, std::move(aForward));
+      Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
       actions.insert(actions.end(),
                      std::make_move_iterator(passed.begin()),
                      std::make_move_iterator(passed.end()));
@@ -147,7 +150,7 @@
     }
     record->mState = isReset ? record->mState : FlowState::kEstablished;
   } else if (!fits) {
-    return pass(aPacket, std::move(aForward));
+    return mChain.pass(aNow, aPacket, std::move(aForward));
   }
   return deliver(aNow, *record, aPacket, aForward);
 }
@@ -201,36 +204,6 @@
   mAdmission.requestAnswered(aNow, aNow - aRecord.mBusySince);
 }
 
-Actions Decisions::pass(const flow::TcpPacket& aPacket, wire::Forward aForward) const
-{
-  const std::size_t next = aForward.mPosition + std::size_t{ 1 };
-  if (next >= aForward.mCandidates.size()) {
-    return endChain(aPacket, aForward);
-  }
-  aForward.mPosition = static_cast<std::uint8_t>(next);
-  const flow::Endpoint agent = aForward.mCandidates[next];
-  return { SendMessage{ agent, std::move(aForward) } };
-}
-
-Actions Decisions::endChain(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const
-{
-  if (aPacket.has(flow::kRst)) {
-    return { DropPacket{ DropReason::kNoOwner } };
-  }
-  if (aPacket.opensFlow()) {
-    // True under any configuration: no upstream was given this SYN.
-    return { SendToCaller{ flow::makeReset(aPacket) },
-             telemetry::Event{
-               telemetry::EventKind::kFlowRefused,
-               { { "flow", aPacket.keyFromCaller().toString() },
-                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) } } } };
-  }
-  if (!aForward.mIsUnanimous || !aForward.mIsComplete) {
-    return { DropPacket{ DropReason::kNoOwner } };
-  }
-  return { SendToCaller{ flow::makeReset(aPacket) } };
-}
-
 Actions Decisions::abandonHalfOpen(base::Time aNow,
                                    const flow::FlowKey& aFlow,
                                    const FlowRecord& aRecord)
@@ -342,4 +315,13 @@
   return actions;
 }
 
+Actions Decisions::onPeerTick(base::Time aNow)
+{
+  Actions actions;
+  for (const flow::Endpoint peer : mPeers.takeProbes(aNow)) {
+    actions.emplace_back(SendMessage{ peer, wire::Probe{ ++mNonce } });
+  }
+  return actions;
+}
+
 } // namespace cornelcross::agent
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -3,6 +3,7 @@
 #include "admission/admission_control.hpp"
 #include "agent/actions.hpp"
 #include "agent/agent_settings.hpp"
+#include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
 #include "config/configuration.hpp"
 #include "flow/run_verdict.hpp"
@@ -18,6 +19,8 @@
 {
 public:
   explicit Decisions(const AgentSettings& aSettings);
+  Decisions(const Decisions&) = delete;
+  Decisions& operator=(const Decisions&) = delete;
 
   /// @brief Puts a configuration into force. One with a lower revision is ignored.
   Actions apply(base::Time aNow, config::ConfigurationPtr aConfiguration);
@@ -31,6 +34,15 @@
   /// @brief Expires records; called about once a second.
   Actions onTick(base::Time aNow);
 
+  /// @brief Probes silent peers; called a few times a second.
+  Actions onPeerTick(base::Time aNow);
+
+  /// @brief Which agents answer.
+  membership::FailureDetector& peers() { return mPeers; }
+
+  /// @brief Which agents answer.
+  const membership::FailureDetector& peers() const { return mPeers; }
+
   /// @brief Revision in force.
   std::uint64_t revision() const { return mConfiguration->mRevision; }
 
@@ -51,8 +63,6 @@
                   FlowRecord& aRecord,
                   const flow::TcpPacket& aPacket,
                   const wire::Forward& aForward);
-  Actions pass(const flow::TcpPacket& aPacket, wire::Forward aForward) const;
-  Actions endChain(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
   Actions abandonHalfOpen(base::Time aNow, const flow::FlowKey& aFlow, const FlowRecord& aRecord);
   void trackCallerPayload(base::Time aNow, FlowRecord& aRecord, const flow::TcpPacket& aPacket);
   void trackUpstreamPayload(base::Time aNow, FlowRecord& aRecord, const flow::TcpPacket& aPacket);
@@ -69,6 +79,9 @@
   std::uint64_t mService = 0;
   admission::AdmissionControl mAdmission;
   FlowTable mFlows;
+  membership::FailureDetector mPeers;
+  Chain mChain;
+  std::uint64_t mNonce = 0;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr base::Duration kTick = std::chrono::seconds(1);
+constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
 
 bool isFlowEvent(const telemetry::Event& aEvent)
 {
@@ -48,6 +49,10 @@
     perform(mDecisions.onTick(net::MainLoop::now()));
     mSocket.flush();
   });
+  mLoop.every(kProbeTick, [this] {
+    perform(mDecisions.onPeerTick(net::MainLoop::now()));
+    mSocket.flush();
+  });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
   mConfig.start();
@@ -58,7 +63,7 @@
 void Shell::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   if (wire::isFrame(aDatagram)) {
-    onFrame(aDatagram);
+    onFrame(aDatagram, aFrom);
     return;
   }
   const auto& upstream = mDecisions.upstream();
@@ -70,7 +75,7 @@
                                       flow::Bytes(aDatagram.begin(), aDatagram.end())));
 }
 
-void Shell::onFrame(std::span<const std::byte> aDatagram)
+void Shell::onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
@@ -78,6 +83,11 @@
     return;
   }
   auto& frame = std::get<wire::Frame>(decoded);
+  mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
+  if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
+    SendMessage reply{ aFrom, wire::ProbeReply{ probe->mNonce } };
+    perform(reply);
+  }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
   }
@@ -136,6 +146,7 @@
            { "upstream", upstream ? upstream->mName : "" },
            { "state", upstream ? std::string(toString(upstream->mState)) : "unlisted" },
            { "flows", mDecisions.flows().size() },
+           { "suspected_agents", mDecisions.peers().suspects() },
            { "busy", admission.busy() },
            { "limit", admission.limit() } };
 }
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -34,7 +34,7 @@
 
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
-  void onFrame(std::span<const std::byte> aDatagram);
+  void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void perform(Actions aActions);
   void perform(DeliverToUpstream& aAction);
   void perform(SendToCaller& aAction);
--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -1,7 +1,7 @@
 #include "balancer/decisions.hpp"
 
 #include "config/upstream.hpp"
-#include "routing/rendezvous.hpp"
+#include "routing/candidates.hpp"
 
 #include <algorithm>
 
@@ -19,35 +19,41 @@
   }
 }
 
-std::vector<flow::Endpoint> Decisions::candidates(const config::Service& aService,
-                                                  const flow::FlowKey& aFlow,
-                                                  bool aOpensFlow)
+void Decisions::preferOwner(const flow::FlowKey& aFlow,
+                            const std::vector<flow::Endpoint>& aAll,
+                            std::vector<flow::Endpoint>& aCandidates)
 {
-  const config::Configuration& configuration = mTable.configuration();
-  std::vector<flow::Endpoint> agents;
-  std::vector<flow::Endpoint> ineligible;
-  for (const std::size_t index :
-       routing::rank(aService, aFlow.hash(), aService.mUpstreams.size())) {
-    const config::Upstream& upstream = aService.mUpstreams[index];
-    if (!configuration.mayReceive(upstream)) {
-      continue;
-    }
-    // A new flow goes to eligible upstreams first; the others are asked only whether they own it.
-    const bool isFirstChoice = !aOpensFlow || configuration.mayOpen(upstream);
-    (isFirstChoice ? agents : ineligible).push_back(upstream.mAgent);
-  }
-  agents.insert(agents.end(), ineligible.begin(), ineligible.end());
   const flow::Endpoint* owner = mOwners.find(aFlow);
-  if (owner != nullptr) {
-    const auto found = std::find(agents.begin(), agents.end(), *owner);
-    if (found != agents.end()) {
-      std::rotate(agents.begin(), found, found + 1);
-    }
+  if (owner == nullptr) {
+    return;
+  }
+  const auto found = std::find(aCandidates.begin(), aCandidates.end(), *owner);
+  if (found != aCandidates.end()) {
+    std::rotate(aCandidates.begin(), found, found + 1);
+  } else if (std::find(aAll.begin(), aAll.end(), *owner) != aAll.end()) {
+    aCandidates.insert(aCandidates.begin(), *owner);
   }
-  return agents;
 }
 
-Action Decisions::decide(base::Time, std::span<const std::byte> aPacket)
+wire::Forward Decisions::address(base::Time aNow,
+                                 const config::Service& aService,
+                                 const flow::TcpPacket& aPacket)
+{
+  const flow::FlowKey key = aPacket.keyFromCaller();
+  const auto all = routing::candidates(mTable.configuration(), aService, key, aPacket.opensFlow());
+  wire::Forward forward;
+  forward.mCandidates = routing::chunkOf(all, 0);
+  forward.mIsComplete = routing::isLastChunk(all, 0);
+  preferOwner(key, all, forward.mCandidates);
+  const std::size_t suspects = mPeers.deferSuspects(forward.mCandidates, 0);
+  // A suspect that would have been asked stays in use, so that it goes on being probed.
+  for (std::size_t i = forward.mCandidates.size() - suspects; i < forward.mCandidates.size(); ++i) {
+    mPeers.noteUse(aNow, forward.mCandidates[i]);
+  }
+  return forward;
+}
+
+Action Decisions::decide(base::Time aNow, std::span<const std::byte> aPacket)
 {
   const auto packet = flow::TcpPacket::parse(aPacket);
   if (!packet) {
@@ -57,24 +63,21 @@
   if (service == nullptr) {
     return DropPacket{ DropReason::kNoService };
   }
-  wire::Forward forward;
-  forward.mCandidates = candidates(*service, packet->keyFromCaller(), packet->opensFlow());
+  wire::Forward forward = address(aNow, *service, *packet);
   if (forward.mCandidates.empty()) {
     return DropPacket{ DropReason::kNoUpstream };
   }
-  forward.mIsComplete = forward.mCandidates.size() <= wire::kMaxCandidates;
-  if (!forward.mIsComplete) {
-    forward.mCandidates.resize(wire::kMaxCandidates);
-  }
   forward.mIngress = mSelf;
   forward.mService = config::upstreamIdentity(service->mName, "");
   forward.mPacket.assign(aPacket.begin(), aPacket.end());
   const flow::Endpoint first = forward.mCandidates.front();
+  mPeers.noteUse(aNow, first);
   return SendForward{ first, std::move(forward) };
 }
 
-void Decisions::learn(base::Time, const wire::OwnerNotice& aNotice)
+void Decisions::learn(base::Time aNow, const wire::OwnerNotice& aNotice)
 {
+  mPeers.noteAlive(aNow, aNotice.mOwner);
   mOwners.store(aNotice.mFlow, aNotice.mOwner);
 }
 
--- a/src/balancer/decisions.hpp
+++ b/src/balancer/decisions.hpp
@@ -2,6 +2,7 @@
 
 #include "balancer/actions.hpp"
 #include "base/time.hpp"
+#include "membership/failure_detector.hpp"
 #include "routing/owner_cache.hpp"
 #include "routing/service_table.hpp"
 #include "wire/owner_notice.hpp"
@@ -27,17 +28,27 @@
   /// @brief Learns which agent owns a flow.
   void learn(base::Time aNow, const wire::OwnerNotice& aNotice);
 
+  /// @brief Which agents answer.
+  membership::FailureDetector& peers() { return mPeers; }
+
+  /// @brief Which agents answer.
+  const membership::FailureDetector& peers() const { return mPeers; }
+
   /// @brief Revision in force.
   std::uint64_t revision() const { return mTable.configuration().mRevision; }
 
 private:
-  std::vector<flow::Endpoint> candidates(const config::Service& aService,
-                                         const flow::FlowKey& aFlow,
-                                         bool aOpensFlow);
+  wire::Forward address(base::Time aNow,
+                        const config::Service& aService,
+                        const flow::TcpPacket& aPacket);
+  void preferOwner(const flow::FlowKey& aFlow,
+                   const std::vector<flow::Endpoint>& aAll,
+                   std::vector<flow::Endpoint>& aCandidates);
 
   flow::Endpoint mSelf;
   routing::ServiceTable mTable;
   routing::OwnerCache mOwners;
+  membership::FailureDetector mPeers;
 };
 
 } // namespace cornelcross::balancer
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -4,6 +4,12 @@
 
 namespace cornelcross::balancer {
 
+namespace {
+
+constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
+
+} // namespace
+
 Shell::Shell(const BalancerSettings& aSettings)
   : mSettings(aSettings)
   , mLog(aSettings.mName)
@@ -20,13 +26,16 @@
       [this] { return status(); },
       [this] { return mDecisions.revision() > 0; })
   , mPackets(mMetrics.counter("cornelcross_packets_forwarded_total", "Packets handed to an agent"))
+  , mProbes(mMetrics.counter("cornelcross_probes_total", "Probes sent to peers"))
 {
 }
 
 void Shell::run()
 {
-  mSocket.onDatagram(
-    [this](std::span<const std::byte> aDatagram, flow::Endpoint) { onDatagram(aDatagram); });
+  mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
+    onDatagram(aDatagram, aFrom);
+  });
+  mLoop.every(kProbeTick, [this] { probePeers(); });
   mLoop.onTerminate([this] {
     mLog.write({ telemetry::EventKind::kProcessStopping, {} });
     mLoop.quit();
@@ -38,10 +47,10 @@
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
 
-void Shell::onDatagram(std::span<const std::byte> aDatagram)
+void Shell::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   if (wire::isFrame(aDatagram)) {
-    onFrame(aDatagram);
+    onFrame(aDatagram, aFrom);
   } else {
     onPacket(aDatagram);
   }
@@ -59,7 +68,7 @@
   mSocket.queue(send.mTo, wire::encode({ mDecisions.revision(), std::move(send.mForward) }));
 }
 
-void Shell::onFrame(std::span<const std::byte> aDatagram)
+void Shell::onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   const auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
@@ -67,9 +76,23 @@
     return;
   }
   const auto& frame = std::get<wire::Frame>(decoded);
+  mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
   if (const auto* notice = std::get_if<wire::OwnerNotice>(&frame.mMessage)) {
     mDecisions.learn(net::MainLoop::now(), *notice);
   }
+  if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
+    mSocket.queue(aFrom,
+                  wire::encode({ mDecisions.revision(), wire::ProbeReply{ probe->mNonce } }));
+  }
+}
+
+void Shell::probePeers()
+{
+  for (const flow::Endpoint peer : mDecisions.peers().takeProbes(net::MainLoop::now())) {
+    mProbes.Increment();
+    mSocket.queue(peer, wire::encode({ mDecisions.revision(), wire::Probe{ ++mNonce } }));
+  }
+  mSocket.flush();
 }
 
 void Shell::countDrop(std::string_view aReason)
@@ -85,7 +108,8 @@
 {
   return { { "name", mSettings.mName },
            { "role", "balancer" },
-           { "revision", mDecisions.revision() } };
+           { "revision", mDecisions.revision() },
+           { "suspected_agents", mDecisions.peers().suspects() } };
 }
 
 } // namespace cornelcross::balancer
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -32,9 +32,10 @@
   void run();
 
 private:
-  void onDatagram(std::span<const std::byte> aDatagram);
+  void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onPacket(std::span<const std::byte> aPacket);
-  void onFrame(std::span<const std::byte> aDatagram);
+  void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void probePeers();
   void countDrop(std::string_view aReason);
   nlohmann::json status() const;
 
@@ -47,6 +48,8 @@
   net::ConfigReader mConfig;
   net::AdminServer mAdmin;
   prometheus::Counter& mPackets;
+  prometheus::Counter& mProbes;
+  std::uint64_t mNonce = 0;
 };
 
 } // namespace cornelcross::balancer
--- /dev/null
+++ b/src/membership/failure_detector.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "flow/endpoint.hpp"
+#include "membership/failure_detector_settings.hpp"
+
+#include <unordered_map>
+#include <vector>
+
+/// @brief What a process knows of the others: who answers, and which revision is confirmed.
+namespace cornelcross::membership {
+
+/// @brief Suspects peers that receive packets and give no sign of life.
+///
+/// Only peers in use are watched. A suspicion is a hint for the order in which peers are asked: it
+/// ends with the next sign of life, or when the peer has been out of use for a while.
+/// Deterministic: time comes with each call.
+class FailureDetector
+{
+public:
+  explicit FailureDetector(const FailureDetectorSettings& aSettings = {});
+
+  /// @brief A packet goes to aPeer, or would go there if it weren't suspected.
+  void noteUse(base::Time aNow, flow::Endpoint aPeer);
+
+  /// @brief Something was received from aPeer.
+  void noteAlive(base::Time aNow, flow::Endpoint aPeer);
+
+  /// @brief True if aPeer has left its last probes unanswered.
+  bool isSuspected(flow::Endpoint aPeer) const;
+
+  /// @brief True if aPeer has been suspected for longer than the setting.
+  bool isDead(base::Time aNow, flow::Endpoint aPeer) const;
+
+  /// @brief Moves the suspects from index aFrom on behind the others; those that were heard of last
+  /// come first among them.
+  /// @return number of suspects
+  std::size_t deferSuspects(std::vector<flow::Endpoint>& aPeers, std::size_t aFrom) const;
+
+  /// @brief Peers to probe now, within the bound on probes; called a few times a second.
+  /// @note O(n) for n peers in use
+  std::vector<flow::Endpoint> takeProbes(base::Time aNow);
+
+  /// @brief Forgets everything: this process was paused, so that silence says nothing.
+  void reset();
+
+  /// @brief Peers suspected now.
+  std::size_t suspects() const { return mSuspects; }
+
+  /// @brief Probes asked for so far.
+  std::uint64_t probes() const { return mProbes; }
+
+private:
+  struct Peer
+  {
+    base::Time mLastHeard;
+    base::Time mLastUsed;
+    base::Time mLastProbe;
+    base::Time mSuspectedSince;
+    std::uint32_t mOpenProbes = 0; ///< since the last sign of life
+    bool mIsSuspected = false;
+  };
+
+  bool isDue(base::Time aNow, const Peer& aPeer) const;
+  void forgetUnused(base::Time aNow);
+  std::size_t takeBudget(base::Time aNow, std::size_t aWanted);
+  void probe(base::Time aNow, Peer& aPeer);
+
+  FailureDetectorSettings mSettings;
+  std::unordered_map<flow::Endpoint, Peer, flow::EndpointHash> mPeers;
+  std::size_t mSuspects = 0;
+  std::uint64_t mProbes = 0;
+  base::Time mBudgetSince;
+  std::size_t mBudgetUsed = 0;
+};
+
+} // namespace cornelcross::membership
--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -10,8 +10,9 @@
   flow::Endpoint mIngress;                 ///< balancer that received the packet; empty if unknown
   std::uint64_t mService = 0;              ///< hash of the service's name
   std::uint8_t mPosition = 0;              ///< index of the receiver in mCandidates
-  bool mIsComplete = false;                ///< the candidates are all the upstreams of the service
-  bool mIsUnanimous = true;                ///< every candidate before mPosition denied the flow
+  std::uint16_t mChunk = 0;                ///< index of these candidates among all the service's
+  bool mIsComplete = false;                ///< no chunk of candidates follows this one
+  bool mIsUnanimous = true;                ///< every candidate asked so far denied the flow
   std::vector<flow::Endpoint> mCandidates; ///< agents, most likely owner first
   flow::Bytes mPacket;                     ///< the IP packet, unchanged
 
@@ -20,7 +21,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mIngress, mService, mPosition, mIsComplete, mIsUnanimous, mCandidates);
+    aArchive(mIngress, mService, mPosition, mChunk, mIsComplete, mIsUnanimous, mCandidates);
   }
 };
 
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -3,6 +3,7 @@
 #include "wire/forward.hpp"
 #include "wire/load_report.hpp"
 #include "wire/owner_notice.hpp"
+#include "wire/probe.hpp"
 
 #include <variant>
 
@@ -10,7 +11,7 @@
 
 /// @brief Every message that travels in a datagram. The index is the message's kind on the wire,
 /// so that new ones go at the end.
-using Message = std::variant<Forward, OwnerNotice, LoadReport>;
+using Message = std::variant<Forward, OwnerNotice, LoadReport, Probe, ProbeReply>;
 
 /// @brief One datagram between two processes of the system.
 struct Frame
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -1,4 +1,5 @@
 #include "agent/decisions.hpp"
+#include "unit/support/actions.hpp"
 #include "unit/support/configuration.hpp"
 #include "unit/support/packets.hpp"
 
@@ -65,17 +66,6 @@
   agent::Decisions mAgent;
 };
 
-template<class T>
-const T* findAction(const agent::Actions& aActions)
-{
-  for (const auto& action : aActions) {
-    if (const auto* found = std::get_if<T>(&action)) {
-      return found;
-    }
-  }
-  return nullptr;
-}
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(agent_decisions, Fixture)
--- /dev/null
+++ b/tests/unit/test_failure_detector.cpp
@@ -0,0 +1,85 @@
+#include "membership/failure_detector.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace std::chrono_literals;
+
+namespace {
+
+const flow::Endpoint kPeer = *flow::Endpoint::parse("127.0.10.1:7000");
+const flow::Endpoint kOther = *flow::Endpoint::parse("127.0.10.2:7000");
+
+struct Fixture
+{
+  /// Lets time pass in steps of 100 ms with aPeer in use.
+  void use(flow::Endpoint aPeer, base::Duration aFor)
+  {
+    for (const base::Time end = mNow + aFor; mNow < end; mNow += 100ms) {
+      mDetector.noteUse(mNow, aPeer);
+      mDetector.takeProbes(mNow);
+    }
+  }
+
+  base::Time mNow{ 100s };
+  membership::FailureDetector mDetector;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(failure_detector, Fixture)
+
+BOOST_AUTO_TEST_CASE(suspects_a_silent_peer_within_a_second_of_its_first_use)
+{
+  use(kPeer, 700ms);
+  BOOST_TEST(!mDetector.isSuspected(kPeer));
+  use(kPeer, 500ms);
+  BOOST_TEST(mDetector.isSuspected(kPeer));
+}
+
+BOOST_AUTO_TEST_CASE(ends_a_suspicion_with_the_next_sign_of_life)
+{
+  use(kPeer, 2s);
+  mDetector.noteAlive(mNow, kPeer);
+  BOOST_TEST(!mDetector.isSuspected(kPeer));
+  BOOST_TEST(mDetector.suspects() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(probes_no_peer_that_is_out_of_use_and_forgets_its_suspicion)
+{
+  use(kPeer, 2s);
+  mNow += 31s;
+  BOOST_TEST(mDetector.takeProbes(mNow).empty());
+  BOOST_TEST(!mDetector.isSuspected(kPeer));
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_probing_a_suspect_that_stays_in_demand)
+{
+  use(kPeer, 2s);
+  const auto before = mDetector.probes();
+  use(kPeer, 10s);
+  BOOST_TEST(mDetector.isSuspected(kPeer));
+  BOOST_TEST(mDetector.probes() - before == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(moves_suspects_behind_the_others_and_keeps_their_order)
+{
+  use(kPeer, 2s);
+  std::vector<flow::Endpoint> peers = { kPeer, kOther };
+  BOOST_TEST(mDetector.deferSuspects(peers, 0) == 1U);
+  BOOST_TEST(peers[1].toString() == kPeer.toString());
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_bound_on_probes_a_second)
+{
+  for (std::uint32_t i = 0; i < 1000; ++i) {
+    mDetector.noteUse(mNow, { { 0x7F000000U + i }, 7000 });
+  }
+  std::size_t probes = 0;
+  for (int tick = 0; tick < 10; ++tick) {
+    probes += mDetector.takeProbes(mNow + tick * 100ms).size();
+  }
+  BOOST_TEST(probes == 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
