Ask the upstream about flows that no agent has a record of

Cause: an agent that restarted beside a living upstream denied the flows of that upstream, so the end of the chain reset them; a flow whose upstream was silent at that moment was lost for certain.

Ruled out: a recovery window of seconds (a flow that is idle for longer is reset after it); records copied to other agents (state and messages for each flow). Handing the records over helps planned stops only.

Change: for as long as an idle flow is kept (12 h) after its start, an agent without a record says that it isn't sure. Where the chain would end with RST, the packet is handed to the upstreams of the unsure agents, with a keep-alive segment behind a bare ACK, so that the owner answers at once and is adopted. A RST of an upstream that was asked is held back and counts as its denial from then on; where everyone else has denied, it is let through.

Tests: the agent of test_agent_decisions now states that its records are complete (a recovery window of 0), since one that has just started no longer answers an unowned segment with RST; its checks are unchanged, and restarted_agent covers the other case.

--- a/src/agent/actions.cpp
+++ b/src/agent/actions.cpp
@@ -15,6 +15,8 @@
       return "zone_out";
     case DropReason::kNoOwner:
       return "no_owner";
+    case DropReason::kNotOwned:
+      return "not_owned";
     case DropReason::kNoRecord:
       return "no_record";
   }
--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -11,6 +11,8 @@
   flow::Endpoint mSelf;             ///< this agent, as the configuration lists it
   std::uint16_t mMaxSegment = 1380; ///< bytes; upper bound for the MSS option
   std::uint32_t mMaxFlows = 2000;   ///< connections that the upstream holds at most
+  /// For so long after its start an agent's records may lack flows of its upstream.
+  base::Duration mRecoveryWindow = std::chrono::hours(12);
   base::Duration mHalfOpenTimeout = std::chrono::seconds(30);
   base::Duration mClosingTimeout = std::chrono::seconds(60);
   base::Duration mIdleTimeout = std::chrono::hours(12);
--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -86,11 +86,32 @@
   return !aForward.mCandidates.empty();
 }
 
-Actions Chain::end(const flow::TcpPacket& aPacket, const wire::Forward& aForward)
+void Chain::askUnsure(const wire::Forward& aForward, wire::Inquiry aInquiry, Actions& aActions)
 {
-  if (aPacket.has(flow::kRst)) {
-    return { DropPacket{ DropReason::kNoOwner } };
+  for (const flow::Endpoint agent : aForward.mUnsure) {
+    wire::Forward question = aForward;
+    question.mInquiry = aInquiry;
+    question.mUnsure.clear();
+    question.mCandidates = { agent };
+    question.mPosition = 0;
+    aActions.emplace_back(SendMessage{ agent, std::move(question) });
+  }
+}
+
+Actions Chain::addUnsure(flow::Endpoint aSelf, wire::Forward& aForward)
+{
+  Actions actions;
+  if (aForward.mUnsure.size() >= wire::kMaxCandidates) {
+    askUnsure(aForward, wire::Inquiry::kAsk, actions);
+    aForward.mUnsure.clear();
+    aForward.mIsUnanimous = false;
   }
+  aForward.mUnsure.push_back(aSelf);
+  return actions;
+}
+
+Actions Chain::end(const flow::TcpPacket& aPacket, const wire::Forward& aForward)
+{
   if (aPacket.opensFlow()) {
     // True under any configuration: no upstream was given this SYN.
     return { SendToCaller{ flow::makeReset(aPacket) },
@@ -99,7 +120,16 @@
                { { "flow", aPacket.keyFromCaller().toString() },
                  { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) } } } };
   }
-  if (!aForward.mIsUnanimous || !aForward.mIsComplete) {
+  if (!aForward.mUnsure.empty()) {
+    // The upstream of the only one left speaks for all; among several, a RST of one is no verdict.
+    const bool isFinal =
+      aForward.mUnsure.size() == 1 && aForward.mIsUnanimous && aForward.mIsComplete;
+    Actions actions;
+    askUnsure(aForward, isFinal ? wire::Inquiry::kFinal : wire::Inquiry::kAsk, actions);
+    return actions;
+  }
+  // A RST is never answered with a RST (RFC 9293, section 3.5.2).
+  if (aPacket.has(flow::kRst) || !aForward.mIsUnanimous || !aForward.mIsComplete) {
     return { DropPacket{ DropReason::kNoOwner } };
   }
   return { SendToCaller{ flow::makeReset(aPacket) } };
--- a/src/agent/chain.hpp
+++ b/src/agent/chain.hpp
@@ -16,8 +16,13 @@
   /// @brief Adopts the configuration and the service in it, which must be part of it.
   void configure(config::ConfigurationPtr aConfiguration, const config::Service* aService);
 
+  /// @brief Notes that aSelf, which has the packet now, can't tell whether its upstream owns the
+  /// flow. The list is bounded: a full one is asked at once and the chain goes on without it.
+  static Actions addUnsure(flow::Endpoint aSelf, wire::Forward& aForward);
+
   /// @brief Sends the packet to the next candidate, or ends the chain: a SYN that no upstream took
-  /// is refused; any other packet is answered with RST if every candidate denied the flow.
+  /// is refused; any other packet is handed to the upstreams that may still own the flow, or
+  /// answered with RST if every candidate denied it.
   Actions pass(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward) const;
 
 private:
@@ -26,6 +31,7 @@
                    std::size_t aFirst,
                    wire::Forward& aForward,
                    Actions& aActions) const;
+  static void askUnsure(const wire::Forward& aForward, wire::Inquiry aInquiry, Actions& aActions);
   static Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward);
 
   membership::FailureDetector& mPeers;
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -1,6 +1,7 @@
 #include "agent/decisions.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cornelcross::agent {
@@ -34,11 +35,12 @@
 {
 }
 
-Actions Decisions::apply(base::Time, config::ConfigurationPtr aConfiguration)
+Actions Decisions::apply(base::Time aNow, config::ConfigurationPtr aConfiguration)
 {
   if (aConfiguration->mRevision < revision()) {
     return {};
   }
+  mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
   mUpstream.reset();
   mChain.configure(mConfiguration, nullptr);
@@ -109,6 +111,7 @@
   record.mCallerInitial = aPacket.mSequence;
   record.mLastSeen = aNow;
   mFlows.insert(aPacket.keyFromCaller(), record);
+  mInquiry.erase(aPacket.keyFromCaller());
   mAdmission.flowOpened(aNow);
   flow::stripSynPayload(aForward.mPacket, aPacket);
   flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
@@ -131,7 +134,7 @@
   const flow::FlowKey key = aPacket.keyFromCaller();
   FlowRecord* record = mFlows.find(key);
   if (record == nullptr) {
-    return mChain.pass(aNow, aPacket, std::move(aForward));
+    return onUnrecorded(aNow, aPacket, std::move(aForward));
   }
   const bool fits =
     !aPacket.has(flow::kAck) || acknowledgementFits(*record, aPacket.mAcknowledgement);
@@ -155,6 +158,50 @@
   return deliver(aNow, *record, aPacket, aForward);
 }
 
+bool Decisions::recordsAreComplete(base::Time aNow) const
+{
+  return mStarted && aNow - *mStarted >= mSettings.mRecoveryWindow;
+}
+
+Actions Decisions::onUnrecorded(base::Time aNow,
+                                const flow::TcpPacket& aPacket,
+                                wire::Forward aForward)
+{
+  if (aForward.mInquiry != wire::Inquiry::kNone) {
+    return onInquiry(aNow, aPacket, std::move(aForward));
+  }
+  Actions actions;
+  const bool isUnsure =
+    !recordsAreComplete(aNow) && !mInquiry.isDenied(aNow, aPacket.keyFromCaller());
+  if (isUnsure) {
+    actions = Chain::addUnsure(mSettings.mSelf, aForward);
+  }
+  Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
+  std::move(passed.begin(), passed.end(), std::back_inserter(actions));
+  return actions;
+}
+
+Actions Decisions::onInquiry(base::Time aNow,
+                             const flow::TcpPacket& aPacket,
+                             wire::Forward aForward)
+{
+  const bool isFinal = aForward.mInquiry == wire::Inquiry::kFinal;
+  if (!mInquiry.ask(aNow, aPacket.keyFromCaller(), isFinal)) {
+    return { DropPacket{ DropReason::kNoOwner } };
+  }
+  Actions actions;
+  if (aPacket.mPayloadLength == 0 && !aPacket.has(flow::kFin) && !aPacket.has(flow::kRst)) {
+    // An acceptable bare ACK is not answered; a segment before the window is (RFC 9293, section
+    // 3.10.7.4), so that a flow of which only the caller is heard becomes known at once.
+    flow::Bytes keepAlive = aForward.mPacket;
+    flow::setSequence(keepAlive, aPacket, aPacket.mSequence - 1);
+    actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, std::move(keepAlive) });
+  }
+  actions.insert(actions.begin(),
+                 DeliverToUpstream{ mUpstream->mAddress, std::move(aForward.mPacket) });
+  return actions;
+}
+
 Actions Decisions::deliver(base::Time aNow,
                            FlowRecord& aRecord,
                            const flow::TcpPacket& aPacket,
@@ -234,6 +281,10 @@
   const flow::FlowKey key = packet->keyFromUpstream();
   FlowRecord* record = mFlows.find(key);
   Actions actions;
+  const bool isUnrecordedReset = record == nullptr && packet->has(flow::kRst);
+  if (isUnrecordedReset && mInquiry.onReset(aNow, key) == ResetVerdict::kHold) {
+    return { DropPacket{ DropReason::kNotOwned } };
+  }
   if (record == nullptr && packet->has(flow::kSyn)) {
     return { DropPacket{ DropReason::kNoRecord } };
   }
@@ -242,6 +293,7 @@
     FlowRecord adopted;
     adopted.mState = FlowState::kEstablished;
     record = &mFlows.insert(key, adopted);
+    mInquiry.erase(key);
     mAdmission.flowOpened(aNow);
     actions.emplace_back(
       telemetry::Event{ telemetry::EventKind::kFlowAdopted, { { "flow", key.toString() } } });
@@ -304,6 +356,7 @@
 
 Actions Decisions::onTick(base::Time aNow)
 {
+  mInquiry.expire(aNow);
   Actions actions;
   mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
     if (!isExpired(aNow, aRecord)) {
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -5,6 +5,7 @@
 #include "agent/agent_settings.hpp"
 #include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
+#include "agent/upstream_inquiry.hpp"
 #include "config/configuration.hpp"
 #include "flow/run_verdict.hpp"
 
@@ -58,6 +59,9 @@
 private:
   Actions onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions onUnrecorded(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions onInquiry(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  bool recordsAreComplete(base::Time aNow) const;
   Actions open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions deliver(base::Time aNow,
                   FlowRecord& aRecord,
@@ -81,6 +85,8 @@
   FlowTable mFlows;
   membership::FailureDetector mPeers;
   Chain mChain;
+  UpstreamInquiry mInquiry;
+  std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
 };
 
--- a/src/flow/packet_edit.cpp
+++ b/src/flow/packet_edit.cpp
@@ -80,6 +80,13 @@
   updateChecksums(aBytes, aPacket.mIpHeaderLength);
 }
 
+void setSequence(Bytes& aBytes, const TcpPacket& aPacket, std::uint32_t aSequence)
+{
+  const std::span<std::byte> bytes(aBytes);
+  write32(bytes, aPacket.mIpHeaderLength + 4U, aSequence);
+  updateChecksums(bytes, aPacket.mIpHeaderLength);
+}
+
 void clampMss(Bytes& aBytes, const TcpPacket& aPacket, std::uint16_t aMaxSegment)
 {
   const std::span<std::byte> bytes(aBytes);
--- a/src/flow/packet_edit.hpp
+++ b/src/flow/packet_edit.hpp
@@ -20,6 +20,9 @@
 /// A SYN without the option stays as it is: its sender is held to 536 bytes (RFC 9293, 3.7.1).
 void clampMss(Bytes& aBytes, const TcpPacket& aPacket, std::uint16_t aMaxSegment);
 
+/// @brief Replaces the sequence number of a segment.
+void setSequence(Bytes& aBytes, const TcpPacket& aPacket, std::uint32_t aSequence);
+
 /// @brief Recomputes the IPv4 header checksum and the TCP checksum.
 void updateChecksums(std::span<std::byte> aBytes, std::size_t aIpHeaderLength);
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -38,8 +38,10 @@
 bool isValid(const Message& aMessage)
 {
   const auto* forward = std::get_if<Forward>(&aMessage);
-  return forward == nullptr || (forward->mCandidates.size() <= kMaxCandidates &&
-                                forward->mPosition < forward->mCandidates.size());
+  return forward == nullptr ||
+         (forward->mInquiry <= Inquiry::kFinal && forward->mUnsure.size() <= kMaxCandidates &&
+          forward->mCandidates.size() <= kMaxCandidates &&
+          forward->mPosition < forward->mCandidates.size());
 }
 
 } // namespace
--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flow/packet_edit.hpp"
+#include "wire/inquiry.hpp"
 
 namespace cornelcross::wire {
 
@@ -13,6 +14,8 @@
   std::uint16_t mChunk = 0;                ///< index of these candidates among all the service's
   bool mIsComplete = false;                ///< no chunk of candidates follows this one
   bool mIsUnanimous = true;                ///< every candidate asked so far denied the flow
+  Inquiry mInquiry = Inquiry::kNone;       ///< why the receiver gets the packet
+  std::vector<flow::Endpoint> mUnsure;     ///< asked agents whose upstream may own the flow
   std::vector<flow::Endpoint> mCandidates; ///< agents, most likely owner first
   flow::Bytes mPacket;                     ///< the IP packet, unchanged
 
@@ -21,7 +24,15 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mIngress, mService, mPosition, mChunk, mIsComplete, mIsUnanimous, mCandidates);
+    aArchive(mIngress,
+             mService,
+             mPosition,
+             mChunk,
+             mIsComplete,
+             mIsUnanimous,
+             mInquiry,
+             mUnsure,
+             mCandidates);
   }
 };
 
--- /dev/null
+++ b/src/wire/inquiry.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cornelcross::wire {
+
+/// @brief Why an agent is handed a packet.
+enum class Inquiry : std::uint8_t
+{
+  kNone,  ///< it is the next candidate
+  kAsk,   ///< no agent has a record; its upstream may still own the flow
+  kFinal, ///< likewise, and everyone else has denied the flow, so that its upstream's RST is true
+};
+
+} // namespace cornelcross::wire
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -14,10 +14,14 @@
 constexpr std::uint32_t kCallerInitial = 1000;
 constexpr std::uint32_t kUpstreamInitial = 500000;
 
-/// An agent of the first of three upstreams.
+/// An agent of the first of three upstreams, whose records are complete.
 struct Fixture
 {
-  Fixture() : mAgent({ .mSelf = agentOf(0) }) { mAgent.apply(mNow, share(makeConfiguration(3))); }
+  explicit Fixture(base::Duration aRecoveryWindow = {})
+    : mAgent({ .mSelf = agentOf(0), .mRecoveryWindow = aRecoveryWindow })
+  {
+    mAgent.apply(mNow, share(makeConfiguration(3)));
+  }
 
   wire::Forward forward(const Segment& aSegment, std::uint8_t aPosition = 0) const
   {
@@ -66,6 +70,20 @@
   agent::Decisions mAgent;
 };
 
+/// The same just after its start beside an upstream that may have flows.
+struct RestartedAgent : Fixture
+{
+  RestartedAgent() : Fixture(std::chrono::hours(12)) {}
+
+  /// What the agent does with a packet that no agent has a record of, once it is asked.
+  agent::Actions ask(wire::Inquiry aInquiry)
+  {
+    auto question = forward({ kCaller, kServiceAddress, flow::kAck, 11, 22 });
+    question.mInquiry = aInquiry;
+    return mAgent.onForward(mNow, mAgent.revision(), question);
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(agent_decisions, Fixture)
@@ -165,3 +183,58 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(restarted_agent, RestartedAgent)
+
+BOOST_AUTO_TEST_CASE(has_its_upstream_asked_where_a_reset_would_follow)
+{
+  const auto actions = fromCaller(flow::kAck, 11, 22, 0, 2);
+  BOOST_TEST(findAction<agent::SendToCaller>(actions) == nullptr);
+  const auto* message = findAction<agent::SendMessage>(actions);
+  BOOST_REQUIRE(message != nullptr);
+  BOOST_TEST(message->mTo.toString() == agentOf(0).toString());
+  BOOST_TEST((std::get<wire::Forward>(message->mMessage).mInquiry == wire::Inquiry::kFinal));
+}
+
+BOOST_AUTO_TEST_CASE(makes_its_upstream_answer_for_a_flow_of_which_only_the_caller_is_heard)
+{
+  const auto asked = ask(wire::Inquiry::kAsk);
+  BOOST_REQUIRE(asked.size() == 2U);
+  const auto& keepAlive = std::get<agent::DeliverToUpstream>(asked[1]).mPacket;
+  BOOST_TEST(flow::TcpPacket::parse(keepAlive)->mSequence == 10U);
+  fromUpstream(flow::kAck, 22, 11);
+  BOOST_TEST(mAgent.flows().size() == 1U);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(fromCaller(flow::kAck, 11, 22, 5)) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(holds_back_its_upstreams_reset_and_denies_the_flow_from_then_on)
+{
+  ask(wire::Inquiry::kAsk);
+  BOOST_TEST(findAction<agent::SendToCaller>(fromUpstream(flow::kRst, 22, 0)) == nullptr);
+  BOOST_TEST(findAction<agent::SendToCaller>(fromCaller(flow::kAck, 11, 22, 0, 2)) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(lets_its_upstreams_reset_through_when_everyone_else_denied_the_flow)
+{
+  ask(wire::Inquiry::kFinal);
+  BOOST_TEST(findAction<agent::SendToCaller>(fromUpstream(flow::kRst, 22, 0)) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(lets_a_reset_through_that_answers_no_question)
+{
+  BOOST_TEST(findAction<agent::SendToCaller>(fromUpstream(flow::kRst, 22, 0)) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(is_one_of_several_to_be_asked_after_a_rolling_restart)
+{
+  auto packet = forward({ kCaller, kServiceAddress, flow::kAck, 11, 22 }, 2);
+  packet.mUnsure = { agentOf(1) };
+  const auto actions = mAgent.onForward(mNow, mAgent.revision(), packet);
+  BOOST_REQUIRE(actions.size() == 2U);
+  for (const auto& action : actions) {
+    const auto& message = std::get<agent::SendMessage>(action);
+    BOOST_TEST((std::get<wire::Forward>(message.mMessage).mInquiry == wire::Inquiry::kAsk));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
