--- /dev/null
+++ b/src/balancer/packet_path.cpp
@@ -0,0 +1,26 @@
+#include "balancer/packet_path.hpp"
+
+#include "wire/codec.hpp"
+
+#include <utility>
+
+namespace cornelcross::balancer {
+
+PacketPath::PacketPath(Decisions& aDecisions, net::UdpSocket& aSocket, DropHook aOnDrop)
+  : mDecisions(aDecisions), mSocket(aSocket), mOnDrop(std::move(aOnDrop))
+{
+}
+
+void PacketPath::handle(base::Time aNow, std::span<const std::byte> aPacket)
+{
+  Action action = mDecisions.decide(aNow, aPacket);
+  if (const auto* drop = std::get_if<DropPacket>(&action)) {
+    mOnDrop(drop->mReason);
+    return;
+  }
+  auto& send = std::get<SendForward>(action);
+  ++mForwarded;
+  mSocket.queue(send.mTo, wire::encode({ mDecisions.revision(), std::move(send.mForward) }));
+}
+
+} // namespace cornelcross::balancer
--- /dev/null
+++ b/src/balancer/packet_path.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "balancer/decisions.hpp"
+#include "net/udp_socket.hpp"
+
+#include <functional>
+
+namespace cornelcross::balancer {
+
+/// @brief The path of one caller's packet through a balancer: decide, encode, queue.
+class PacketPath
+{
+public:
+  /// @brief Called with the reason of each drop.
+  using DropHook = std::function<void(DropReason)>;
+
+  PacketPath(Decisions& aDecisions, net::UdpSocket& aSocket, DropHook aOnDrop);
+
+  /// @brief Handles one IP packet; what it sends leaves with the socket's next flush.
+  void handle(base::Time aNow, std::span<const std::byte> aPacket);
+
+  /// @brief Packets handed to an agent.
+  std::uint64_t forwarded() const { return mForwarded; }
+
+private:
+  Decisions& mDecisions;
+  net::UdpSocket& mSocket;
+  DropHook mOnDrop;
+  std::uint64_t mForwarded = 0;
+};
+
+} // namespace cornelcross::balancer
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -19,7 +19,8 @@
       mMetrics,
       [this] { return status(); },
       [this] { return mDecisions.revision() > 0; })
-  , mPackets(mMetrics.counter("cornelcross_packets_forwarded_total", "Packets handed to an agent"))
+  , mPath(mDecisions, mSocket, [this](DropReason aReason) { countDrop(toString(aReason)); })
+  , mPackets(mMetrics.counter("cornelcross_packets_received_total", "IP packets from the fabric"))
 {
 }
 
@@ -43,22 +44,11 @@
   if (wire::isFrame(aDatagram)) {
     onFrame(aDatagram);
   } else {
-    onPacket(aDatagram);
+    mPath.handle(net::MainLoop::now(), aDatagram);
+    mPackets.Increment();
   }
 }
 
-void Shell::onPacket(std::span<const std::byte> aPacket)
-{
-  Action action = mDecisions.decide(net::MainLoop::now(), aPacket);
-  if (const auto* drop = std::get_if<DropPacket>(&action)) {
-    countDrop(toString(drop->mReason));
-    return;
-  }
-  auto& send = std::get<SendForward>(action);
-  mPackets.Increment();
-  mSocket.queue(send.mTo, wire::encode({ mDecisions.revision(), std::move(send.mForward) }));
-}
-
 void Shell::onFrame(std::span<const std::byte> aDatagram)
 {
   const auto decoded = wire::decode(aDatagram);
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancer/decisions.hpp"
+#include "balancer/packet_path.hpp"
 #include "net/admin_server.hpp"
 #include "net/config_reader.hpp"
 #include "net/main_loop.hpp"
@@ -33,7 +34,6 @@
 
 private:
   void onDatagram(std::span<const std::byte> aDatagram);
-  void onPacket(std::span<const std::byte> aPacket);
   void onFrame(std::span<const std::byte> aDatagram);
   void countDrop(std::string_view aReason);
   nlohmann::json status() const;
@@ -46,6 +46,7 @@
   net::UdpSocket mSocket;
   net::ConfigReader mConfig;
   net::AdminServer mAdmin;
+  PacketPath mPath;
   prometheus::Counter& mPackets;
 };
 
