Rank upstreams with integers and prepare services once per configuration

The logarithm also came from the C library, which may round differently on another VM, and ranks must agree on all of them. Change: fixed-point logarithm, left out with equal weights; zones and states are resolved when a configuration is applied.

--- a/src/balancer/actions.hpp
+++ b/src/balancer/actions.hpp
@@ -18,7 +18,7 @@
 /// @brief Name of the reason in logs and metrics.
 std::string_view toString(DropReason aReason);
 
-/// @brief Send a message to an agent.
+/// @brief Send a message to an agent. Its packet is left empty: it is the one decided on.
 struct SendForward
 {
   flow::Endpoint mTo;
--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -1,8 +1,5 @@
 #include "balancer/decisions.hpp"
 
-#include "config/upstream.hpp"
-#include "routing/rendezvous.hpp"
-
 #include <algorithm>
 
 namespace cornelcross::balancer {
@@ -19,24 +16,11 @@
   }
 }
 
-std::vector<flow::Endpoint> Decisions::candidates(const config::Service& aService,
+std::vector<flow::Endpoint> Decisions::candidates(const routing::ServiceRoutes& aRoutes,
                                                   const flow::FlowKey& aFlow,
                                                   bool aOpensFlow)
 {
-  const config::Configuration& configuration = mTable.configuration();
-  std::vector<flow::Endpoint> agents;
-  std::vector<flow::Endpoint> ineligible;
-  for (const std::size_t index :
-       routing::rank(aService, aFlow.hash(), aService.mUpstreams.size())) {
-    const config::Upstream& upstream = aService.mUpstreams[index];
-    if (!configuration.mayReceive(upstream)) {
-      continue;
-    }
-    // A new flow goes to eligible upstreams first; the others are asked only whether they own it.
-    const bool isFirstChoice = !aOpensFlow || configuration.mayOpen(upstream);
-    (isFirstChoice ? agents : ineligible).push_back(upstream.mAgent);
-  }
-  agents.insert(agents.end(), ineligible.begin(), ineligible.end());
+  auto agents = aRoutes.candidates(aFlow.hash(), aOpensFlow, wire::kMaxCandidates);
   const flow::Endpoint* owner = mOwners.find(aFlow);
   if (owner != nullptr) {
     const auto found = std::find(agents.begin(), agents.end(), *owner);
@@ -53,22 +37,18 @@
   if (!packet) {
     return DropPacket{ DropReason::kMalformed };
   }
-  const config::Service* service = mTable.find(packet->mDestination);
-  if (service == nullptr) {
+  const routing::ServiceRoutes* routes = mTable.find(packet->mDestination);
+  if (routes == nullptr) {
     return DropPacket{ DropReason::kNoService };
   }
   wire::Forward forward;
-  forward.mCandidates = candidates(*service, packet->keyFromCaller(), packet->opensFlow());
+  forward.mCandidates = candidates(*routes, packet->keyFromCaller(), packet->opensFlow());
   if (forward.mCandidates.empty()) {
     return DropPacket{ DropReason::kNoUpstream };
   }
-  forward.mIsComplete = forward.mCandidates.size() <= wire::kMaxCandidates;
-  if (!forward.mIsComplete) {
-    forward.mCandidates.resize(wire::kMaxCandidates);
-  }
+  forward.mIsComplete = forward.mCandidates.size() == routes->receivers();
   forward.mIngress = mSelf;
-  forward.mService = config::upstreamIdentity(service->mName, "");
-  forward.mPacket.assign(aPacket.begin(), aPacket.end());
+  forward.mService = routes->identity();
   const flow::Endpoint first = forward.mCandidates.front();
   return SendForward{ first, std::move(forward) };
 }
--- a/src/balancer/decisions.hpp
+++ b/src/balancer/decisions.hpp
@@ -31,7 +31,7 @@
   std::uint64_t revision() const { return mTable.configuration().mRevision; }
 
 private:
-  std::vector<flow::Endpoint> candidates(const config::Service& aService,
+  std::vector<flow::Endpoint> candidates(const routing::ServiceRoutes& aRoutes,
                                          const flow::FlowKey& aFlow,
                                          bool aOpensFlow);
 
--- a/src/balancer/packet_path.cpp
+++ b/src/balancer/packet_path.cpp
@@ -13,12 +13,12 @@
 
 void PacketPath::handle(base::Time aNow, std::span<const std::byte> aPacket)
 {
-  Action action = mDecisions.decide(aNow, aPacket);
+  const Action action = mDecisions.decide(aNow, aPacket);
   if (const auto* drop = std::get_if<DropPacket>(&action)) {
     mOnDrop(drop->mReason);
     return;
   }
-  auto& send = std::get<SendForward>(action);
+  const auto& send = std::get<SendForward>(action);
   ++mForwarded;
   mSocket.queue(send.mTo, wire::encode({ mDecisions.revision(), std::move(send.mForward) }));
 }
--- /dev/null
+++ b/src/routing/service_routes.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "config/configuration.hpp"
+#include "routing/ranking.hpp"
+
+namespace cornelcross::routing {
+
+/// @brief One service prepared for per-packet decisions: ranks and who may receive what.
+class ServiceRoutes
+{
+public:
+  /// @brief Prepares aService, which must outlive this object.
+  ServiceRoutes(const config::Configuration& aConfiguration, const config::Service& aService);
+
+  /// @brief The service.
+  const config::Service& service() const { return *mService; }
+
+  /// @brief Hash of the service's name, as messages carry it.
+  std::uint64_t identity() const { return mIdentity; }
+
+  /// @brief Number of upstreams in availability zones that are in.
+  std::size_t receivers() const { return mReceivers.size(); }
+
+  /// @brief Agents to ask about a flow, most likely owner first, at most aLimit of them. For a new
+  /// flow those that may open it come first; the others can only say whether they own it already.
+  std::vector<flow::Endpoint> candidates(std::uint64_t aFlowHash,
+                                         bool aOpensFlow,
+                                         std::size_t aLimit) const;
+
+private:
+  const config::Service* mService;
+  std::uint64_t mIdentity;
+  Ranking mReceivers;     ///< upstreams in availability zones that are in
+  Ranking mOpeners;       ///< those of them that take new flows
+  Ranking mOnlyReceivers; ///< those of them that don't
+};
+
+} // namespace cornelcross::routing
--- a/src/routing/service_table.cpp
+++ b/src/routing/service_table.cpp
@@ -6,14 +6,14 @@
   : mConfiguration(std::move(aConfiguration))
 {
   for (const auto& [name, service] : mConfiguration->mServices) {
-    mByAddress.emplace(service.mAddress, &service);
+    mByAddress.emplace(service.mAddress, ServiceRoutes(*mConfiguration, service));
   }
 }
 
-const config::Service* ServiceTable::find(flow::Endpoint aAddress) const
+const ServiceRoutes* ServiceTable::find(flow::Endpoint aAddress) const
 {
   const auto found = mByAddress.find(aAddress);
-  return found == mByAddress.end() ? nullptr : found->second;
+  return found == mByAddress.end() ? nullptr : &found->second;
 }
 
 } // namespace cornelcross::routing
--- a/src/routing/service_table.hpp
+++ b/src/routing/service_table.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "config/configuration.hpp"
+#include "routing/service_routes.hpp"
 
 #include <unordered_map>
 
@@ -14,14 +14,14 @@
   explicit ServiceTable(config::ConfigurationPtr aConfiguration);
 
   /// @brief Service at aAddress; nullptr if there is none.
-  const config::Service* find(flow::Endpoint aAddress) const;
+  const ServiceRoutes* find(flow::Endpoint aAddress) const;
 
   /// @brief What the table was made from.
   const config::Configuration& configuration() const { return *mConfiguration; }
 
 private:
   config::ConfigurationPtr mConfiguration;
-  std::unordered_map<flow::Endpoint, const config::Service*, flow::EndpointHash> mByAddress;
+  std::unordered_map<flow::Endpoint, ServiceRoutes, flow::EndpointHash> mByAddress;
 };
 
 } // namespace cornelcross::routing
--- a/src/wire/archive.hpp
+++ b/src/wire/archive.hpp
@@ -2,6 +2,7 @@
 
 #include "flow/packet_edit.hpp"
 
+#include <array>
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -25,12 +26,12 @@
   template<class T>
   void writeInteger(T aValue)
   {
-    using Unsigned = std::make_unsigned_t<T>;
-    auto value = static_cast<Unsigned>(aValue);
-    for (std::size_t i = sizeof(T); i-- > 0;) {
-      mBytes.push_back(
-        static_cast<std::byte>((static_cast<std::uint64_t>(value) >> (8U * i)) & 0xFFU));
+    const auto value = static_cast<std::uint64_t>(static_cast<std::make_unsigned_t<T>>(aValue));
+    std::array<std::byte, sizeof(T)> bytes;
+    for (std::size_t i = 0; i < sizeof(T); ++i) {
+      bytes[i] = static_cast<std::byte>((value >> (8U * (sizeof(T) - 1 - i))) & 0xFFU);
     }
+    writeBytes(bytes.data(), bytes.size());
   }
 
   /// @brief Appends raw bytes.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -35,6 +35,11 @@
   return kDecoders[aKind](aArchive);
 }
 
+void writeHeader(OutputArchive& aArchive, std::size_t aKind, std::uint64_t aRevision)
+{
+  aArchive(kMagic, kVersion, static_cast<std::uint8_t>(aKind), aRevision);
+}
+
 bool isValid(const Message& aMessage)
 {
   const auto* forward = std::get_if<Forward>(&aMessage);
@@ -70,15 +75,29 @@
 
 flow::Bytes encode(const Frame& aFrame)
 {
+  if (const auto* forward = std::get_if<Forward>(&aFrame.mMessage)) {
+    return encodeForward(aFrame.mRevision, *forward, forward->mPacket);
+  }
   flow::Bytes bytes;
-  const auto* forward = std::get_if<Forward>(&aFrame.mMessage);
-  bytes.reserve(kTypicalHeader + (forward == nullptr ? 0 : forward->mPacket.size()));
+  bytes.reserve(kTypicalHeader);
   OutputArchive archive(bytes);
-  archive(kMagic, kVersion, static_cast<std::uint8_t>(aFrame.mMessage.index()), aFrame.mRevision);
+  writeHeader(archive, aFrame.mMessage.index(), aFrame.mRevision);
   std::visit([&](const auto& aMessage) { archive(aMessage); }, aFrame.mMessage);
-  if (forward != nullptr) {
-    bytes.insert(bytes.end(), forward->mPacket.begin(), forward->mPacket.end());
-  }
+  return bytes;
+}
+
+flow::Bytes encodeForward(std::uint64_t aRevision,
+                          const Forward& aForward,
+                          std::span<const std::byte> aPacket)
+{
+  constexpr std::size_t kForwardKind = 0;
+  static_assert(std::is_same_v<std::variant_alternative_t<kForwardKind, Message>, Forward>);
+  flow::Bytes bytes;
+  bytes.reserve(kTypicalHeader + aPacket.size());
+  OutputArchive archive(bytes);
+  writeHeader(archive, kForwardKind, aRevision);
+  archive(aForward);
+  archive.writeBytes(aPacket.data(), aPacket.size());
   return bytes;
 }
 
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -29,6 +29,12 @@
 /// @brief Encodes a frame. A Forward's packet follows its header as it is.
 flow::Bytes encode(const Frame& aFrame);
 
+/// @brief Encodes a Forward whose packet is aPacket in place of the message's own, without a copy
+/// of the packet in between.
+flow::Bytes encodeForward(std::uint64_t aRevision,
+                          const Forward& aForward,
+                          std::span<const std::byte> aPacket);
+
 /// @brief Decodes a frame; never throws and never reads past the end.
 std::variant<Frame, DecodeError> decode(std::span<const std::byte> aDatagram);
 
