--- a/src/balancer/packet_path.cpp
+++ b/src/balancer/packet_path.cpp
@@ -20,7 +20,7 @@
   }
   const auto& send = std::get<SendForward>(action);
   ++mForwarded;
-  mSocket.queue(send.mTo, wire::encode({ mDecisions.revision(), std::move(send.mForward) }));
+  mSocket.queue(send.mTo, wire::encodeForward(mDecisions.revision(), send.mForward, aPacket));
 }
 
 } // namespace cornelcross::balancer
--- /dev/null
+++ b/tests/unit/test_packet_path.cpp
@@ -0,0 +1,48 @@
+#include "balancer/packet_path.hpp"
+#include "net/main_loop.hpp"
+#include "unit/support/configuration.hpp"
+#include "unit/support/packets.hpp"
+#include "wire/codec.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace cornelcross::test;
+
+BOOST_AUTO_TEST_SUITE(packet_path)
+
+// Regression: the packet was once left out of the message that carries it.
+BOOST_AUTO_TEST_CASE(sends_the_whole_packet_to_the_first_candidate)
+{
+  const flow::Endpoint self = *flow::Endpoint::parse("127.62.0.1:7000");
+  const flow::Endpoint agent = *flow::Endpoint::parse("127.62.0.2:7000");
+  auto configuration = makeConfiguration(1);
+  configuration.mServices.at("logbook").mUpstreams[0].mAgent = agent;
+
+  net::MainLoop loop;
+  net::UdpSocket sending(self);
+  net::UdpSocket receiving(agent);
+  balancer::Decisions decisions(self, 16);
+  decisions.apply(share(configuration));
+  balancer::PacketPath path(decisions, sending, [](balancer::DropReason) {});
+
+  flow::Bytes received;
+  receiving.onDatagram([&](std::span<const std::byte> aBytes, flow::Endpoint) {
+    received.assign(aBytes.begin(), aBytes.end());
+    loop.quit();
+  });
+  loop.after(std::chrono::seconds(5), [&] { loop.quit(); });
+
+  const auto packet = makePacket(
+    { *flow::Endpoint::parse("10.1.1.1:40000"), kServiceAddress, flow::kAck, 1, 2, 100 });
+  path.handle(net::MainLoop::now(), packet);
+  sending.flush();
+  loop.run();
+
+  const auto decoded = wire::decode(received);
+  BOOST_REQUIRE(std::holds_alternative<wire::Frame>(decoded));
+  const auto& forward = std::get<wire::Forward>(std::get<wire::Frame>(decoded).mMessage);
+  BOOST_TEST((forward.mPacket == packet));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
