Check configuration files and preview their changes

Cause: a document could only be tried by publishing it, and nothing named faults between documents: two services at one address were accepted, and which of them answered hung on the order of a map. Ruled out: checking only in the tool, which would let a running process accept what the tool rejects; a scan over all services for each document, which is quadratic when a process starts. Change: config::crossCheck over an index of endpoints, used by DocumentStore and so by every process and by cornelcross-check. Documents are taken in the order of revisions; a rejected one is tried again once another changes. A member that is named twice is an error. The tool's preview ranks a sample of flows as balancers do. Two services that swap addresses must do so in two steps; a running process rejects a swap, as it has to pick one of them first.

--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -1,8 +1,10 @@
 #include "config/document_store.hpp"
 
+#include "config/cross_check.hpp"
 #include "config/parse.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelcross::config {
 
@@ -22,6 +24,12 @@
   return aKey.substr(kServicePrefix.size());
 }
 
+bool isOlder(const Document& aLeft, const Document& aRight)
+{
+  return aLeft.mRevision != aRight.mRevision ? aLeft.mRevision < aRight.mRevision
+                                             : aLeft.mKey < aRight.mKey;
+}
+
 template<class T>
 Parsed<DocumentValue> widen(Parsed<T> aParsed)
 {
@@ -57,18 +65,15 @@
 {
   std::vector<ConfigError> errors;
   bool changed = aRevision > mRevision;
-  for (const Document& document : aDocuments) {
-    const auto found = mAccepted.find(document.mKey);
-    if (found != mAccepted.end() && found->second.mDocument.mRevision >= document.mRevision) {
-      continue;
-    }
-    Parsed<DocumentValue> parsed = parseDocument(document);
-    if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
-      errors.insert(errors.end(), faults->begin(), faults->end());
-      continue;
-    }
-    mAccepted[document.mKey] = { document, std::get<DocumentValue>(std::move(parsed)) };
+  std::vector<Document> documents = aDocuments;
+  std::sort(documents.begin(), documents.end(), isOlder);
+  bool accepted = false;
+  for (const Document& document : documents) {
+    accepted = accept(document, errors) || accepted;
+  }
+  while (accepted) {
     changed = true;
+    accepted = retryConflicting();
   }
   mRevision = std::max(mRevision, aRevision);
   if (changed) {
@@ -77,6 +82,49 @@
   return errors;
 }
 
+bool DocumentStore::retryConflicting()
+{
+  std::vector<Document> documents;
+  for (const auto& [key, document] : std::exchange(mConflicting, {})) {
+    documents.push_back(document);
+  }
+  std::sort(documents.begin(), documents.end(), isOlder);
+  std::vector<ConfigError> alreadyReported;
+  bool accepted = false;
+  for (const Document& document : documents) {
+    accepted = accept(document, alreadyReported) || accepted;
+  }
+  return accepted;
+}
+
+bool DocumentStore::accept(const Document& aDocument, std::vector<ConfigError>& aErrors)
+{
+  const auto found = mAccepted.find(aDocument.mKey);
+  if (found != mAccepted.end() && found->second.mDocument.mRevision >= aDocument.mRevision) {
+    return false;
+  }
+  Parsed<DocumentValue> parsed = parseDocument(aDocument);
+  if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
+    aErrors.insert(aErrors.end(), faults->begin(), faults->end());
+    return false;
+  }
+  auto& value = std::get<DocumentValue>(parsed);
+  if (const auto* service = std::get_if<Service>(&value)) {
+    const std::vector<ConfigError> faults = crossCheck(*service, mEndpoints);
+    if (!faults.empty()) {
+      aErrors.insert(aErrors.end(), faults.begin(), faults.end());
+      mConflicting.insert_or_assign(aDocument.mKey, aDocument);
+      return false;
+    }
+    mEndpoints.store(*service);
+  } else if (isServiceKey(aDocument.mKey)) {
+    mEndpoints.erase(serviceName(aDocument.mKey));
+  }
+  mConflicting.erase(aDocument.mKey);
+  mAccepted[aDocument.mKey] = { aDocument, std::move(value) };
+  return true;
+}
+
 std::vector<Document> DocumentStore::documentsAfter(std::uint64_t aRevision) const
 {
   std::vector<Document> documents;
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -3,6 +3,7 @@
 #include "config/config_error.hpp"
 #include "config/configuration.hpp"
 #include "config/document.hpp"
+#include "config/endpoint_index.hpp"
 
 #include <variant>
 
@@ -17,6 +18,10 @@
 /// Each key keeps the highest revision that was accepted, so that merging is commutative and
 /// idempotent: documents may arrive from the configuration service and from peers, in any order
 /// and more than once, and no key ever reverts.
+///
+/// A service that uses an endpoint of another accepted service is rejected too. Documents are
+/// taken in the order of their revisions, so that the later one loses on every process, and such a
+/// rejected document is tried again whenever another one changes.
 class DocumentStore
 {
 public:
@@ -41,10 +46,14 @@
     DocumentValue mValue;
   };
 
+  bool accept(const Document& aDocument, std::vector<ConfigError>& aErrors);
+  bool retryConflicting();
   void rebuild();
 
   std::uint64_t mRevision = 0;
   std::map<std::string, Accepted> mAccepted;
+  std::map<std::string, Document> mConflicting; ///< newest documents that crossCheck() rejected
+  EndpointIndex mEndpoints;                     ///< of the accepted services
   ConfigurationPtr mConfiguration = std::make_shared<const Configuration>();
 };
 
--- /dev/null
+++ b/src/tools/check/preview.cpp
@@ -0,0 +1,191 @@
+#include "tools/check/preview.hpp"
+
+#include "flow/flow_key.hpp"
+#include "routing/rendezvous.hpp"
+
+#include <set>
+
+namespace cornelcross::tools::check {
+
+namespace {
+
+using config::Configuration;
+using config::Service;
+using config::Upstream;
+
+const Upstream* findUpstream(const Service& aService, const std::string& aName)
+{
+  for (const Upstream& upstream : aService.mUpstreams) {
+    if (upstream.mName == aName) {
+      return &upstream;
+    }
+  }
+  return nullptr;
+}
+
+std::string describe(const Configuration& aConfiguration, const Upstream* aUpstream)
+{
+  if (aUpstream == nullptr) {
+    return "unlisted";
+  }
+  const std::string zone = aConfiguration.zoneIsIn(aUpstream->mZone) ? " in" : " out";
+  return std::string(toString(aUpstream->mState)) + ", zone " + aUpstream->mZone + zone +
+         ", weight " + std::to_string(aUpstream->mWeight) + ", slots " +
+         std::to_string(aUpstream->mSlots) + ", agent " + aUpstream->mAgent.toString() +
+         ", address " + aUpstream->mAddress.toString();
+}
+
+bool mayOpen(const Configuration& aConfiguration, const Upstream* aUpstream)
+{
+  return aUpstream != nullptr && aConfiguration.mayOpen(*aUpstream);
+}
+
+bool mayReceive(const Configuration& aConfiguration, const Upstream* aUpstream)
+{
+  return aUpstream != nullptr && aConfiguration.mayReceive(*aUpstream);
+}
+
+UpstreamEffect effectOf(const Configuration& aBefore,
+                        const Configuration& aAfter,
+                        const Upstream* aOld,
+                        const Upstream* aNew)
+{
+  const bool replaced = aOld != nullptr && aNew != nullptr &&
+                        (aOld->mAgent != aNew->mAgent || aOld->mAddress != aNew->mAddress);
+  if (mayReceive(aBefore, aOld) && (!mayReceive(aAfter, aNew) || replaced)) {
+    const bool drained = aNew == nullptr && aOld->mState == config::UpstreamState::kLeaving;
+    return drained ? UpstreamEffect::kRemovedAfterDrain : UpstreamEffect::kLosesFlows;
+  }
+  if (mayOpen(aBefore, aOld) != mayOpen(aAfter, aNew)) {
+    return mayOpen(aAfter, aNew) ? UpstreamEffect::kBecomesEligible
+                                 : UpstreamEffect::kStopsNewFlows;
+  }
+  return UpstreamEffect::kChanged;
+}
+
+void compareUpstreams(const Configuration& aBefore,
+                      const Configuration& aAfter,
+                      const Service& aOld,
+                      const Service& aNew,
+                      Preview& aPreview)
+{
+  std::set<std::string> names;
+  for (const Service* service : { &aOld, &aNew }) {
+    for (const Upstream& upstream : service->mUpstreams) {
+      names.insert(upstream.mName);
+    }
+  }
+  for (const std::string& name : names) {
+    const Upstream* before = findUpstream(aOld, name);
+    const Upstream* after = findUpstream(aNew, name);
+    const std::string textBefore = describe(aBefore, before);
+    const std::string textAfter = describe(aAfter, after);
+    if (textBefore != textAfter) {
+      const UpstreamEffect effect = effectOf(aBefore, aAfter, before, after);
+      aPreview.mUpstreams.push_back({ aOld.mName, name, effect, textBefore, textAfter });
+    }
+  }
+}
+
+/// Callers spread over addresses and ports as a fabric would see them.
+flow::FlowKey sampleFlow(const Service& aService, std::uint32_t aIndex)
+{
+  constexpr std::uint32_t kFirstAddress = 0x0A000001; // 10.0.0.1
+  constexpr std::uint32_t kPorts = 28232;             // the usual range of ephemeral ports
+  constexpr std::uint32_t kFirstPort = 32768;
+  const flow::Endpoint caller{ { kFirstAddress + aIndex },
+                               static_cast<std::uint16_t>(kFirstPort + aIndex % kPorts) };
+  return { caller, aService.mAddress };
+}
+
+/// Name of the upstream that a new flow goes to; empty if none is eligible.
+std::string firstEligible(const Configuration& aConfiguration,
+                          const Service& aService,
+                          const flow::FlowKey& aFlow)
+{
+  for (const std::size_t index :
+       routing::rank(aService, aFlow.hash(), aService.mUpstreams.size())) {
+    if (aConfiguration.mayOpen(aService.mUpstreams[index])) {
+      return aService.mUpstreams[index].mName;
+    }
+  }
+  return {};
+}
+
+ServiceChange compareShares(const Configuration& aBefore,
+                            const Configuration& aAfter,
+                            const Service& aOld,
+                            const Service& aNew,
+                            std::uint32_t aSample)
+{
+  ServiceChange change{ aOld.mName, 0, {}, {} };
+  const double unit = 1.0 / aSample;
+  for (std::uint32_t i = 0; i < aSample; ++i) {
+    const flow::FlowKey key = sampleFlow(aNew, i);
+    const std::string before = firstEligible(aBefore, aOld, key);
+    const std::string after = firstEligible(aAfter, aNew, key);
+    change.mSharesBefore[before] += unit;
+    change.mSharesAfter[after] += unit;
+    change.mMovedShare += before == after ? 0 : unit;
+  }
+  return change;
+}
+
+void compareService(const Configuration& aBefore,
+                    const Configuration& aAfter,
+                    const Service& aOld,
+                    const Service& aNew,
+                    std::uint32_t aSample,
+                    Preview& aPreview)
+{
+  if (aOld.mAddress != aNew.mAddress) {
+    aPreview.mMovedServices.push_back(aOld.mName);
+  }
+  const std::size_t known = aPreview.mUpstreams.size();
+  compareUpstreams(aBefore, aAfter, aOld, aNew, aPreview);
+  if (aPreview.mUpstreams.size() > known) {
+    aPreview.mServices.push_back(compareShares(aBefore, aAfter, aOld, aNew, aSample));
+  }
+}
+
+void compareZones(const Configuration& aBefore, const Configuration& aAfter, Preview& aPreview)
+{
+  std::set<std::string> names;
+  for (const Configuration* configuration : { &aBefore, &aAfter }) {
+    for (const auto& [name, zone] : configuration->mZones) {
+      names.insert(name);
+    }
+  }
+  for (const std::string& name : names) {
+    if (aBefore.zoneIsIn(name) != aAfter.zoneIsIn(name)) {
+      (aAfter.zoneIsIn(name) ? aPreview.mZonesIn : aPreview.mZonesOut).push_back(name);
+    }
+  }
+}
+
+} // namespace
+
+Preview previewChange(const Configuration& aBefore,
+                      const Configuration& aAfter,
+                      std::uint32_t aSample)
+{
+  Preview preview;
+  for (const auto& [name, service] : aBefore.mServices) {
+    const auto found = aAfter.mServices.find(name);
+    if (found == aAfter.mServices.end()) {
+      preview.mRemovedServices.push_back(name);
+    } else {
+      compareService(aBefore, aAfter, service, found->second, aSample, preview);
+    }
+  }
+  for (const auto& [name, service] : aAfter.mServices) {
+    if (aBefore.mServices.count(name) == 0) {
+      preview.mAddedServices.push_back(name);
+    }
+  }
+  compareZones(aBefore, aAfter, preview);
+  preview.mWorkspacesDiffer = aBefore.mWorkspaces != aAfter.mWorkspaces;
+  return preview;
+}
+
+} // namespace cornelcross::tools::check
--- /dev/null
+++ b/src/tools/check/preview_text.cpp
@@ -0,0 +1,76 @@
+#include "tools/check/preview.hpp"
+
+#include <cstdio>
+#include <set>
+
+namespace cornelcross::tools::check {
+
+namespace {
+
+std::string percent(double aShare)
+{
+  char text[16];
+  std::snprintf(text, sizeof(text), "%.2f%%", aShare * 100);
+  return text;
+}
+
+double shareOf(const std::map<std::string, double>& aShares, const std::string& aUpstream)
+{
+  const auto found = aShares.find(aUpstream);
+  return found == aShares.end() ? 0 : found->second;
+}
+
+void appendNames(std::string& aText,
+                 const std::string& aChange,
+                 const std::string& aKey,
+                 const std::vector<std::string>& aNames)
+{
+  for (const std::string& name : aNames) {
+    aText.append("change=").append(aChange).append(" ").append(aKey).append("=").append(name);
+    aText += '\n';
+  }
+}
+
+void appendService(std::string& aText, const ServiceChange& aChange)
+{
+  aText +=
+    "new_flows service=" + aChange.mService + " moved=" + percent(aChange.mMovedShare) + "\n";
+  std::set<std::string> names;
+  for (const auto* shares : { &aChange.mSharesBefore, &aChange.mSharesAfter }) {
+    for (const auto& [name, share] : *shares) {
+      names.insert(name);
+    }
+  }
+  for (const std::string& name : names) {
+    aText += "share service=" + aChange.mService + " upstream=" + (name.empty() ? "none" : name) +
+             " before=" + percent(shareOf(aChange.mSharesBefore, name)) +
+             " after=" + percent(shareOf(aChange.mSharesAfter, name)) + "\n";
+  }
+}
+
+} // namespace
+
+std::string toText(const Preview& aPreview)
+{
+  if (aPreview.isEmpty()) {
+    return "no_change\n";
+  }
+  std::string text;
+  appendNames(text, "service_added", "service", aPreview.mAddedServices);
+  appendNames(text, "service_removed", "service", aPreview.mRemovedServices);
+  appendNames(text, "service_address", "service", aPreview.mMovedServices);
+  appendNames(text, "zone_out", "zone", aPreview.mZonesOut);
+  appendNames(text, "zone_in", "zone", aPreview.mZonesIn);
+  text += aPreview.mWorkspacesDiffer ? "change=workspaces\n" : "";
+  for (const UpstreamChange& change : aPreview.mUpstreams) {
+    text += "change=upstream_" + std::string(toString(change.mEffect)) +
+            " service=" + change.mService + " upstream=" + change.mUpstream + " before=\"" +
+            change.mBefore + "\" after=\"" + change.mAfter + "\"\n";
+  }
+  for (const ServiceChange& change : aPreview.mServices) {
+    appendService(text, change);
+  }
+  return text;
+}
+
+} // namespace cornelcross::tools::check
--- /dev/null
+++ b/src/tools/check/report.cpp
@@ -0,0 +1,35 @@
+#include "tools/check/report.hpp"
+
+#include "config/cross_check.hpp"
+#include "config/document_store.hpp"
+
+namespace cornelcross::tools::check {
+
+Report validate(const std::vector<config::Document>& aDocuments)
+{
+  config::DocumentStore store;
+  Report report;
+  report.mErrors = store.merge(1, aDocuments);
+  report.mConfiguration = store.configuration();
+  report.mWarnings = config::findUnlistedZones(*report.mConfiguration);
+  for (const auto& [name, service] : report.mConfiguration->mServices) {
+    if (service.mUpstreams.empty()) {
+      report.mWarnings.push_back({ "service/" + name + ".upstreams", "at least one upstream" });
+    }
+  }
+  return report;
+}
+
+Report validateText(const std::string& aFile, const std::string& aText, const std::string& aKey)
+{
+  if (!aKey.empty()) {
+    return validate({ { aKey, 1, aText } });
+  }
+  const ReadDocuments read = splitDocuments(aFile, aText);
+  if (const auto* errors = std::get_if<std::vector<config::ConfigError>>(&read)) {
+    return { std::make_shared<const config::Configuration>(), *errors, {} };
+  }
+  return validate(std::get<std::vector<config::Document>>(read));
+}
+
+} // namespace cornelcross::tools::check
