Share unchanged services between configurations

Ruled out: parsing (one document of two upstreams), the index of the balancer (timed on its own). Change: a service's upstreams are a list whose copies share their elements; a merge copies the configuration before and changes only the keys that came. The store also orders documents by revision, so that a batch of bounded size costs what it holds, and names rejected keys.

--- a/bench/memory/main.cpp
+++ b/bench/memory/main.cpp
@@ -54,23 +54,23 @@
 
 std::string serviceText(std::uint32_t aService, const std::string& aState)
 {
-  const std::uint32_t first = static_cast<std::uint32_t>(
-    static_cast<std::uint64_t>(aService) * FLAGS_upstreams / FLAGS_services);
-  const std::uint32_t end = static_cast<std::uint32_t>(
-    static_cast<std::uint64_t>(aService + 1) * FLAGS_upstreams / FLAGS_services);
+  const std::uint32_t first = static_cast<std::uint32_t>(static_cast<std::uint64_t>(aService) *
+                                                         FLAGS_upstreams / FLAGS_services);
+  const std::uint32_t end = static_cast<std::uint32_t>(static_cast<std::uint64_t>(aService + 1) *
+                                                       FLAGS_upstreams / FLAGS_services);
   nlohmann::json upstreams = nlohmann::json::array();
   for (std::uint32_t i = first; i < end; ++i) {
-    upstreams.push_back({ { "name", "service-" + std::to_string(aService) + "-upstream-" +
-                                      std::to_string(i - first) },
-                          { "agent", agentOf(i).toString() },
-                          { "address", flow::Endpoint{ agentOf(i).mAddress, 7001 }.toString() },
-                          { "zone", "region-a-zone-" + std::to_string(i % 27) },
-                          { "slots", 7 },
-                          { "state", aState } });
+    upstreams.push_back(
+      { { "name",
+          "service-" + std::to_string(aService) + "-upstream-" + std::to_string(i - first) },
+        { "agent", agentOf(i).toString() },
+        { "address", flow::Endpoint{ agentOf(i).mAddress, 7001 }.toString() },
+        { "zone", "region-a-zone-" + std::to_string(i % 27) },
+        { "slots", 7 },
+        { "state", aState } });
   }
   const flow::Endpoint address{ { 0xC6120001U + aService }, 80 };
-  const nlohmann::json document = { { "address", address.toString() },
-                                    { "upstreams", upstreams } };
+  const nlohmann::json document = { { "address", address.toString() }, { "upstreams", upstreams } };
   return document.dump();
 }
 
--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -56,54 +56,113 @@
                                               const std::vector<Document>& aDocuments)
 {
   std::vector<ConfigError> errors;
-  bool changed = aRevision > mRevision;
+  std::shared_ptr<Configuration> next;
   for (const Document& document : aDocuments) {
     const auto found = mAccepted.find(document.mKey);
-    if (found != mAccepted.end() && found->second.mDocument.mRevision >= document.mRevision) {
+    if (found != mAccepted.end() && found->second.mRevision >= document.mRevision) {
       continue;
     }
     Parsed<DocumentValue> parsed = parseDocument(document);
     if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
       errors.insert(errors.end(), faults->begin(), faults->end());
+      std::uint64_t& rejected = mRejected[document.mKey];
+      rejected = std::max(rejected, document.mRevision);
       continue;
     }
-    mAccepted[document.mKey] = { document, std::get<DocumentValue>(std::move(parsed)) };
-    changed = true;
+    if (!next) {
+      next = std::make_shared<Configuration>(*mConfiguration);
+    }
+    accept(document, std::get<DocumentValue>(std::move(parsed)), *next);
+  }
+  if (aRevision > mRevision && !next) {
+    next = std::make_shared<Configuration>(*mConfiguration);
   }
   mRevision = std::max(mRevision, aRevision);
-  if (changed) {
-    rebuild();
+  if (next) {
+    next->mRevision = mRevision;
+    mConfiguration = std::move(next);
   }
   return errors;
 }
 
 std::vector<Document> DocumentStore::documentsAfter(std::uint64_t aRevision) const
+{
+  return batchAfter(aRevision, SIZE_MAX).mDocuments;
+}
+
+DocumentBatch DocumentStore::batchAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const
+{
+  DocumentBatch batch{ mRevision, {} };
+  std::size_t bytes = 0;
+  std::uint64_t last = aRevision;
+  for (auto it = mByRevision.lower_bound({ aRevision + 1, "" }); it != mByRevision.end(); ++it) {
+    if (bytes >= aMaxBytes && it->first != last) {
+      batch.mRevision = last;
+      return batch;
+    }
+    const Document& document = mAccepted.at(it->second);
+    bytes += document.mKey.size() + document.mText.value_or("").size();
+    last = document.mRevision;
+    batch.mDocuments.push_back(document);
+  }
+  return batch;
+}
+
+std::vector<Document> DocumentStore::documentsOf(const std::vector<std::string>& aKeys) const
 {
   std::vector<Document> documents;
-  for (const auto& [key, accepted] : mAccepted) {
-    if (accepted.mDocument.mRevision > aRevision) {
-      documents.push_back(accepted.mDocument);
+  for (const std::string& key : aKeys) {
+    const auto found = mAccepted.find(key);
+    if (found != mAccepted.end()) {
+      documents.push_back(found->second);
     }
   }
   return documents;
 }
 
-void DocumentStore::rebuild()
+std::vector<std::string> DocumentStore::rejectedKeys() const
 {
-  auto next = std::make_shared<Configuration>();
-  next->mRevision = mRevision;
-  for (const auto& [key, accepted] : mAccepted) {
-    if (const auto* service = std::get_if<Service>(&accepted.mValue)) {
-      next->mServices.emplace(service->mName, *service);
-    } else if (const auto* zones = std::get_if<std::vector<AvailabilityZone>>(&accepted.mValue)) {
-      for (const AvailabilityZone& zone : *zones) {
-        next->mZones.emplace(zone.mName, zone);
-      }
-    } else if (const auto* workspaces = std::get_if<std::vector<Workspace>>(&accepted.mValue)) {
-      next->mWorkspaces = *workspaces;
+  std::vector<std::string> keys;
+  for (const auto& [key, revision] : mRejected) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+void DocumentStore::accept(const Document& aDocument, DocumentValue aValue, Configuration& aNext)
+{
+  const std::string& key = aDocument.mKey;
+  Document& accepted = mAccepted[key];
+  mByRevision.erase({ accepted.mRevision, key });
+  mByRevision.emplace(aDocument.mRevision, key);
+  accepted = aDocument;
+  const auto rejected = mRejected.find(key);
+  if (rejected != mRejected.end() && rejected->second < aDocument.mRevision) {
+    mRejected.erase(rejected);
+  }
+  if (auto* service = std::get_if<Service>(&aValue)) {
+    aNext.mServices.insert_or_assign(serviceName(key), std::move(*service));
+  } else if (auto* zones = std::get_if<std::vector<AvailabilityZone>>(&aValue)) {
+    aNext.mZones.clear();
+    for (const AvailabilityZone& zone : *zones) {
+      aNext.mZones.emplace(zone.mName, zone);
     }
+  } else if (auto* workspaces = std::get_if<std::vector<Workspace>>(&aValue)) {
+    aNext.mWorkspaces = std::move(*workspaces);
+  } else {
+    remove(key, aNext);
+  }
+}
+
+void DocumentStore::remove(const std::string& aKey, Configuration& aNext)
+{
+  if (aKey == kZonesKey) {
+    aNext.mZones.clear();
+  } else if (aKey == kWorkspacesKey) {
+    aNext.mWorkspaces.clear();
+  } else {
+    aNext.mServices.erase(serviceName(aKey));
   }
-  mConfiguration = std::move(next);
 }
 
 } // namespace cornelcross::config
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -2,8 +2,9 @@
 
 #include "config/config_error.hpp"
 #include "config/configuration.hpp"
-#include "config/document.hpp"
+#include "config/document_batch.hpp"
 
+#include <set>
 #include <variant>
 
 namespace cornelcross::config {
@@ -16,7 +17,8 @@
 ///
 /// Each key keeps the highest revision that was accepted, so that merging is commutative and
 /// idempotent: documents may arrive from the configuration service and from peers, in any order
-/// and more than once, and no key ever reverts.
+/// and more than once, and no key ever reverts. A configuration shares with the one before it
+/// whatever did not change.
 class DocumentStore
 {
 public:
@@ -28,6 +30,17 @@
   /// @brief Accepted documents with a revision above aRevision, tombstones included.
   std::vector<Document> documentsAfter(std::uint64_t aRevision) const;
 
+  /// @brief Part of documentsAfter(aRevision), oldest first, of about aMaxBytes of text; documents
+  /// of one revision are never parted. Everything up to the batch's revision is in it.
+  DocumentBatch batchAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const;
+
+  /// @brief Accepted documents of these keys; a key without one is left out.
+  std::vector<Document> documentsOf(const std::vector<std::string>& aKeys) const;
+
+  /// @brief Keys of which a document was rejected that is newer than the accepted one. A peer may
+  /// hold an accepted version that this process has never seen.
+  std::vector<std::string> rejectedKeys() const;
+
   /// @brief Highest revision up to which everything was seen.
   std::uint64_t revision() const { return mRevision; }
 
@@ -35,16 +48,13 @@
   ConfigurationPtr configuration() const { return mConfiguration; }
 
 private:
-  struct Accepted
-  {
-    Document mDocument;
-    DocumentValue mValue;
-  };
-
-  void rebuild();
+  void accept(const Document& aDocument, DocumentValue aValue, Configuration& aNext);
+  static void remove(const std::string& aKey, Configuration& aNext);
 
   std::uint64_t mRevision = 0;
-  std::map<std::string, Accepted> mAccepted;
+  std::map<std::string, Document> mAccepted;
+  std::map<std::string, std::uint64_t> mRejected;
+  std::set<std::pair<std::uint64_t, std::string>> mByRevision;
   ConfigurationPtr mConfiguration = std::make_shared<const Configuration>();
 };
 
--- a/src/config/service.hpp
+++ b/src/config/service.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "config/upstream.hpp"
-
-#include <vector>
+#include "config/upstream_list.hpp"
 
 namespace cornelcross::config {
 
@@ -10,8 +8,8 @@
 struct Service
 {
   std::string mName;
-  flow::Endpoint mAddress;          ///< what callers connect to
-  std::vector<Upstream> mUpstreams; ///< in the order of the document
+  flow::Endpoint mAddress; ///< what callers connect to
+  UpstreamList mUpstreams; ///< in the order of the document
 
   auto operator<=>(const Service&) const = default;
 };
--- /dev/null
+++ b/src/config/upstream_list.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "config/upstream.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace cornelcross::config {
+
+/// @brief Upstreams of one service. Copies share their elements until one of them is changed, so
+/// that a configuration which differs in one service shares all the others.
+class UpstreamList
+{
+public:
+  using const_iterator = std::vector<Upstream>::const_iterator;
+  using value_type = Upstream;
+
+  const_iterator begin() const { return mElements->begin(); }
+  const_iterator end() const { return mElements->end(); }
+  std::size_t size() const { return mElements->size(); }
+  bool empty() const { return mElements->empty(); }
+  const Upstream& operator[](std::size_t aIndex) const { return (*mElements)[aIndex]; }
+  const Upstream& front() const { return mElements->front(); }
+  const Upstream& back() const { return mElements->back(); }
+
+  /// @brief Element that may be changed. @note O(n) if the elements are shared
+  Upstream& operator[](std::size_t aIndex) { return mutableElements()[aIndex]; }
+
+  // The names of the standard containers.
+  // NOLINTBEGIN(readability-identifier-naming)
+
+  /// @brief Appends an element. @note O(n) if the elements are shared
+  void push_back(Upstream aUpstream) { mutableElements().push_back(std::move(aUpstream)); }
+
+  /// @brief Removes the last element. @note O(n) if the elements are shared
+  void pop_back() { mutableElements().pop_back(); }
+
+  // NOLINTEND(readability-identifier-naming)
+
+  /// @brief True if both lists hold the very same elements in memory.
+  bool sharesWith(const UpstreamList& aOther) const { return mElements == aOther.mElements; }
+
+  bool operator==(const UpstreamList& aOther) const
+  {
+    return sharesWith(aOther) || *mElements == *aOther.mElements;
+  }
+
+  auto operator<=>(const UpstreamList& aOther) const { return *mElements <=> *aOther.mElements; }
+
+private:
+  std::vector<Upstream>& mutableElements()
+  {
+    if (mElements.use_count() != 1) {
+      mElements = std::make_shared<std::vector<Upstream>>(*mElements);
+    }
+    return *mElements;
+  }
+
+  std::shared_ptr<std::vector<Upstream>> mElements = std::make_shared<std::vector<Upstream>>();
+};
+
+} // namespace cornelcross::config
--- a/src/net/config_watch.hpp
+++ b/src/net/config_watch.hpp
@@ -1,22 +1,16 @@
 #pragma once
 
 #include "base/time.hpp"
-#include "config/document.hpp"
+#include "config/document_batch.hpp"
 #include "flow/endpoint.hpp"
 
 #include <functional>
 #include <libsoup/soup.h>
 #include <variant>
-#include <vector>
 
 namespace cornelcross::net {
 
-/// @brief Documents that changed, as one answer of the configuration service.
-struct DocumentBatch
-{
-  std::uint64_t mRevision = 0; ///< the service's revision; everything up to it has been seen
-  std::vector<config::Document> mDocuments;
-};
+using config::DocumentBatch;
 
 /// @brief Why a read of the configuration service gave nothing.
 struct WatchFailure
--- a/tests/unit/test_document_store.cpp
+++ b/tests/unit/test_document_store.cpp
@@ -8,6 +8,8 @@
 
 const std::string kZonesIn = R"({"zones": [{"name": "a", "state": "in"}]})";
 const std::string kZonesOut = R"({"zones": [{"name": "a", "state": "out"}]})";
+const std::string kService = R"({"address": "198.51.100.1:80", "upstreams": [{"name": "u",
+  "agent": "127.0.0.1:1", "address": "127.0.0.1:2", "zone": "a", "slots": 1, "state": "serving"}]})";
 
 } // namespace
 
@@ -57,4 +59,48 @@
   BOOST_TEST(store.configuration()->mServices.empty());
 }
 
+BOOST_AUTO_TEST_CASE(shares_every_service_that_a_change_leaves_alone)
+{
+  config::DocumentStore store;
+  store.merge(2, { { "service/x", 1, kService }, { "service/y", 2, kService } });
+  const auto before = store.configuration();
+  store.merge(3, { { "service/y", 3, kService } });
+  const auto after = store.configuration();
+  BOOST_TEST(after->mServices.at("x").mUpstreams.sharesWith(before->mServices.at("x").mUpstreams));
+  BOOST_TEST(!after->mServices.at("y").mUpstreams.sharesWith(before->mServices.at("y").mUpstreams));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_of_a_service_that_is_changed_leaves_the_original_alone)
+{
+  config::DocumentStore store;
+  store.merge(1, { { "service/x", 1, kService } });
+  auto copy = store.configuration()->mServices.at("x");
+  copy.mUpstreams[0].mSlots = 9;
+  BOOST_TEST(store.configuration()->mServices.at("x").mUpstreams[0].mSlots == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(batches_follow_each_other_without_a_gap)
+{
+  config::DocumentStore full;
+  full.merge(9, { { "service/x", 3, kService }, { "service/y", 3, kService }, { "zones", 7, {} } });
+  const auto first = full.batchAfter(0, 1);
+  BOOST_TEST(first.mDocuments.size() == 2U);
+  BOOST_TEST(first.mRevision == 3U);
+  const auto second = full.batchAfter(first.mRevision, 1);
+  BOOST_TEST(second.mDocuments.size() == 1U);
+  BOOST_TEST(second.mRevision == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(names_the_keys_whose_newest_document_was_rejected)
+{
+  config::DocumentStore store;
+  store.merge(2, { { "zones", 2, "?" } });
+  BOOST_REQUIRE(store.rejectedKeys().size() == 1U);
+  store.merge(2, { { "zones", 1, kZonesOut } });
+  BOOST_TEST(!store.configuration()->zoneIsIn("a"));
+  BOOST_TEST(store.rejectedKeys().size() == 1U);
+  store.merge(3, { { "zones", 3, kZonesIn } });
+  BOOST_TEST(store.rejectedKeys().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
