--- a/tests/unit/test_check_preview.cpp
+++ b/tests/unit/test_check_preview.cpp
@@ -54,7 +54,9 @@
   before.mServices.at("logbook").mUpstreams[0].mState = config::UpstreamState::kLeaving;
   auto after = before;
   auto& upstreams = after.mServices.at("logbook").mUpstreams;
-  upstreams.erase(upstreams.begin(), upstreams.begin() + 2);
+  const config::Upstream last = upstreams[2];
+  upstreams = {};
+  upstreams.push_back(last);
   const Preview preview = previewChange(before, after, kSample);
   BOOST_REQUIRE(preview.mUpstreams.size() == 2U);
   BOOST_TEST((preview.mUpstreams[0].mEffect == UpstreamEffect::kRemovedAfterDrain));
