--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -1,6 +1,5 @@
 #include "balancer/decisions.hpp"
 
-#include "config/upstream.hpp"
 #include "routing/candidates.hpp"
 
 #include <algorithm>
@@ -20,7 +19,7 @@
 }
 
 void Decisions::preferOwner(const flow::FlowKey& aFlow,
-                            const std::vector<flow::Endpoint>& aAll,
+                            const routing::ServiceRoutes& aRoutes,
                             std::vector<flow::Endpoint>& aCandidates)
 {
   const flow::Endpoint* owner = mOwners.find(aFlow);
@@ -30,21 +29,20 @@
   const auto found = std::find(aCandidates.begin(), aCandidates.end(), *owner);
   if (found != aCandidates.end()) {
     std::rotate(aCandidates.begin(), found, found + 1);
-  } else if (std::find(aAll.begin(), aAll.end(), *owner) != aAll.end()) {
+  } else if (routing::mayReceive(mTable.configuration(), aRoutes, *owner)) {
     aCandidates.insert(aCandidates.begin(), *owner);
   }
 }
 
 wire::Forward Decisions::address(base::Time aNow,
-                                 const config::Service& aService,
+                                 const routing::ServiceRoutes& aRoutes,
                                  const flow::TcpPacket& aPacket)
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
-  const auto all = routing::candidates(mTable.configuration(), aService, key, aPacket.opensFlow());
   wire::Forward forward;
-  forward.mCandidates = routing::chunkOf(all, 0);
-  forward.mIsComplete = routing::isLastChunk(all, 0);
-  preferOwner(key, all, forward.mCandidates);
+  forward.mCandidates = routing::chunkOf(aRoutes, key, aPacket.opensFlow(), 0);
+  forward.mIsComplete = routing::isLastChunk(aRoutes, 0);
+  preferOwner(key, aRoutes, forward.mCandidates);
   const std::size_t suspects = mPeers.deferSuspects(forward.mCandidates, 0);
   // A suspect that would have been asked stays in use, so that it goes on being probed.
   for (std::size_t i = forward.mCandidates.size() - suspects; i < forward.mCandidates.size(); ++i) {
@@ -59,17 +57,16 @@
   if (!packet) {
     return DropPacket{ DropReason::kMalformed };
   }
-  const config::Service* service = mTable.find(packet->mDestination);
-  if (service == nullptr) {
+  const routing::ServiceRoutes* routes = mTable.find(packet->mDestination);
+  if (routes == nullptr) {
     return DropPacket{ DropReason::kNoService };
   }
-  wire::Forward forward = address(aNow, *service, *packet);
+  wire::Forward forward = address(aNow, *routes, *packet);
   if (forward.mCandidates.empty()) {
     return DropPacket{ DropReason::kNoUpstream };
   }
   forward.mIngress = mSelf;
-  forward.mService = config::upstreamIdentity(service->mName, "");
-  forward.mPacket.assign(aPacket.begin(), aPacket.end());
+  forward.mService = routes->identity();
   const flow::Endpoint first = forward.mCandidates.front();
   mPeers.noteUse(aNow, first);
   return SendForward{ first, std::move(forward) };
--- a/src/balancer/decisions.hpp
+++ b/src/balancer/decisions.hpp
@@ -39,10 +39,10 @@
 
 private:
   wire::Forward address(base::Time aNow,
-                        const config::Service& aService,
+                        const routing::ServiceRoutes& aRoutes,
                         const flow::TcpPacket& aPacket);
   void preferOwner(const flow::FlowKey& aFlow,
-                   const std::vector<flow::Endpoint>& aAll,
+                   const routing::ServiceRoutes& aRoutes,
                    std::vector<flow::Endpoint>& aCandidates);
 
   flow::Endpoint mSelf;
--- a/tests/unit/test_agent_chain.cpp
+++ b/tests/unit/test_agent_chain.cpp
@@ -18,10 +18,8 @@
 {
   explicit Fixture(std::uint32_t aUpstreams = 4)
     : mConfiguration(share(makeConfiguration(aUpstreams)))
-    , mAll(routing::candidates(*mConfiguration,
-                               mConfiguration->mServices.at("logbook"),
-                               { kCaller, kServiceAddress },
-                               false))
+    , mRoutes(*mConfiguration, mConfiguration->mServices.at("logbook"))
+    , mAll(mRoutes.candidates(flow::FlowKey{ kCaller, kServiceAddress }.hash(), false, aUpstreams))
   {
     mChain.configure(mConfiguration, &mConfiguration->mServices.at("logbook"));
   }
@@ -30,8 +28,8 @@
   agent::Actions pass(std::uint8_t aFlags, std::size_t aPosition)
   {
     wire::Forward forward;
-    forward.mCandidates = routing::chunkOf(mAll, 0);
-    forward.mIsComplete = routing::isLastChunk(mAll, 0);
+    forward.mCandidates = routing::chunkOf(mRoutes, { kCaller, kServiceAddress }, false, 0);
+    forward.mIsComplete = routing::isLastChunk(mRoutes, 0);
     forward.mPosition = static_cast<std::uint8_t>(aPosition);
     forward.mPacket = makePacket({ kCaller, kServiceAddress, aFlags, 1, 2 });
     const auto packet = *flow::TcpPacket::parse(forward.mPacket);
@@ -50,6 +48,7 @@
   membership::FailureDetector mPeers;
   agent::Chain mChain{ mPeers };
   config::ConfigurationPtr mConfiguration;
+  routing::ServiceRoutes mRoutes;
   std::vector<flow::Endpoint> mAll;
 };
 
