Let test builds leave one safety mechanism out; relay every link through the fake fabric

Cause: a proof counts only if it was seen to fail without its mechanism, and faults of single links need the fabric between any two processes. Ruled out: a product flag for each mechanism (operators could reach it); separate faulty sources (they would drift). A test program links its own definition of base::mechanisms() instead; the library's is constant. Conclusion: no behaviour of the product changes.

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -1,5 +1,7 @@
 #include "agent/decisions.hpp"
 
+#include "base/mechanisms.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -62,7 +64,8 @@
   if (!mUpstream) {
     return { DropPacket{ DropReason::kNotConfigured } };
   }
-  if (packet->mDestination != mServiceAddress || aForward.mService != mService) {
+  const bool isForeign = packet->mDestination != mServiceAddress || aForward.mService != mService;
+  if (isForeign && base::mechanisms().mCheckService) {
     return { DropPacket{ DropReason::kForeignService } };
   }
   if (!mConfiguration->mayReceive(*mUpstream)) {
@@ -70,6 +73,10 @@
   }
   // A denial counts only under the configuration that the sender used to list the candidates.
   aForward.mIsUnanimous = aForward.mIsUnanimous && aRevision == revision();
+  if (!base::mechanisms().mPassUnowned && !packet->opensFlow()) {
+    aForward.mCandidates.resize(aForward.mPosition + std::size_t{ 1 });
+    aForward.mIsComplete = false;
+  }
   return packet->opensFlow() ? onSyn(aNow, *packet, std::move(aForward))
                              : onSegment(aNow, *packet, std::move(aForward));
 }
@@ -264,7 +271,7 @@
   if (record == nullptr && packet->has(flow::kSyn)) {
     return { DropPacket{ DropReason::kNoRecord } };
   }
-  if (record == nullptr && !packet->has(flow::kRst)) {
+  if (record == nullptr && !packet->has(flow::kRst) && base::mechanisms().mAdoptFlows) {
     // The agent restarted beside a living upstream: what the upstream sends, it owns.
     FlowRecord adopted;
     adopted.mState = FlowState::kEstablished;
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/mechanisms.hpp"
 #include "config/availability_zone.hpp"
 #include "config/service.hpp"
 #include "config/workspace.hpp"
@@ -28,7 +29,8 @@
   /// @brief True if the upstream may be given new flows.
   bool mayOpen(const Upstream& aUpstream) const
   {
-    return mayReceive(aUpstream) && aUpstream.mState != UpstreamState::kLeaving;
+    return mayReceive(aUpstream) &&
+           (aUpstream.mState != UpstreamState::kLeaving || !base::mechanisms().mObserveLeaving);
   }
 };
 
--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -1,5 +1,6 @@
 #include "config/document_store.hpp"
 
+#include "base/mechanisms.hpp"
 #include "config/parse.hpp"
 
 #include <algorithm>
@@ -59,7 +60,9 @@
   bool changed = aRevision > mRevision;
   for (const Document& document : aDocuments) {
     const auto found = mAccepted.find(document.mKey);
-    if (found != mAccepted.end() && found->second.mDocument.mRevision >= document.mRevision) {
+    const bool isOlder =
+      found != mAccepted.end() && found->second.mDocument.mRevision >= document.mRevision;
+    if (isOlder && base::mechanisms().mKeepRevisions) {
       continue;
     }
     Parsed<DocumentValue> parsed = parseDocument(document);
--- a/src/flow/packet_edit.cpp
+++ b/src/flow/packet_edit.cpp
@@ -1,5 +1,6 @@
 #include "flow/packet_edit.hpp"
 
+#include "base/mechanisms.hpp"
 #include "flow/byte_order.hpp"
 
 namespace cornelcross::flow {
@@ -72,7 +73,7 @@
 
 void stripSynPayload(Bytes& aBytes, const TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0) {
+  if (aPacket.mPayloadLength == 0 || !base::mechanisms().mStripSynData) {
     return;
   }
   aBytes.resize(aPacket.mIpHeaderLength + aPacket.mTcpHeaderLength);
--- a/tests/fakes/fabric/relay.cpp
+++ b/tests/fakes/fabric/relay.cpp
@@ -1,16 +1,43 @@
 #include "fakes/fabric/relay.hpp"
 
+#include "fakes/common/record.hpp"
+#include "wire/codec.hpp"
+
 namespace cornelcross::fakes {
 
-Relay::Relay(net::MainLoop& aLoop, flow::Endpoint aListen, std::uint64_t aSeed)
-  : mLoop(aLoop), mSocket(aListen), mRandom(aSeed)
+namespace {
+
+constexpr base::Duration kRecordInterval = std::chrono::milliseconds(50);
+
+bool carriesCallerPacket(std::span<const std::byte> aDatagram)
+{
+  const auto decoded = wire::decode(aDatagram);
+  const auto* frame = std::get_if<wire::Frame>(&decoded);
+  return frame != nullptr && std::holds_alternative<wire::Forward>(frame->mMessage);
+}
+
+} // namespace
+
+Relay::Relay(net::MainLoop& aLoop, flow::Endpoint aListen, std::uint64_t aSeed, std::string aName)
+  : mLoop(aLoop), mSocket(aListen), mName(std::move(aName)), mLinks(aSeed), mRandom(aSeed)
 {
   mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
-    onDatagram(aDatagram, aFrom);
+    onPacket(aDatagram, aFrom);
   });
 }
 
-void Relay::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
+void Relay::addNode(const Node& aNode)
+{
+  Port& port = mNodes[aNode.mReal.mAddress];
+  port.mNode = aNode;
+  port.mSocket = std::make_unique<net::UdpSocket>(aNode.mAdvertised);
+  port.mSocket->onDatagram(
+    [this, &port](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
+      onNodeDatagram(port, aDatagram, aFrom);
+    });
+}
+
+void Relay::onPacket(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   const auto packet = flow::TcpPacket::parse(aDatagram);
   if (!packet) {
@@ -21,7 +48,7 @@
   if (mServices.count(packet->mSource.mAddress.mValue) != 0) {
     const auto caller = mCallers.find(packet->mDestination.mAddress.mValue);
     if (caller != mCallers.end()) {
-      send(caller->second, bytes);
+      send(mSocket, aFrom, caller->second, bytes);
     }
     return;
   }
@@ -29,34 +56,50 @@
   mServices.insert(packet->mDestination.mAddress.mValue);
   if (!mBalancers.empty()) {
     std::uniform_int_distribution<std::size_t> pick(0, mBalancers.size() - 1);
-    send(mBalancers[pick(mRandom)], bytes);
+    send(mSocket, aFrom, mBalancers[pick(mRandom)], bytes);
   }
 }
 
-bool Relay::happens(double aProbability)
+void Relay::onNodeDatagram(const Port& aTo,
+                           std::span<const std::byte> aDatagram,
+                           flow::Endpoint aFrom)
 {
-  return aProbability > 0 && std::uniform_real_distribution<>(0, 1)(mRandom) < aProbability;
+  const auto from = mNodes.find(aFrom.mAddress);
+  if (from == mNodes.end()) {
+    return;
+  }
+  recordDelivery(from->second, aTo, aDatagram);
+  // The datagram leaves from the sender's advertised endpoint, where answers reach the sender.
+  send(
+    *from->second.mSocket, aFrom, aTo.mNode.mReal, flow::Bytes(aDatagram.begin(), aDatagram.end()));
 }
 
-void Relay::send(flow::Endpoint aTo, const flow::Bytes& aPacket)
+void Relay::recordDelivery(const Port& aFrom, const Port& aTo, std::span<const std::byte> aDatagram)
 {
-  if (happens(mQuality.mLoss)) {
-    return;
+  const base::Time now = net::MainLoop::now();
+  const auto key = std::make_pair(aFrom.mNode.mName, aTo.mNode.mName);
+  const auto last = mRecorded.find(key);
+  const bool isDue = last == mRecorded.end() || now - last->second >= kRecordInterval;
+  if (isDue && carriesCallerPacket(aDatagram)) {
+    mRecorded[key] = now;
+    record(mName, "forwarded", { { "from", key.first }, { "to", key.second } });
   }
-  const unsigned copies = happens(mQuality.mDuplicate) ? 2 : 1;
-  for (unsigned i = 0; i < copies; ++i) {
-    const unsigned jitter =
-      mQuality.mJitterMs == 0
-        ? 0
-        : std::uniform_int_distribution<unsigned>(0, mQuality.mJitterMs)(mRandom);
-    const unsigned delay = mQuality.mDelayMs + jitter;
+}
+
+void Relay::send(net::UdpSocket& aSocket,
+                 flow::Endpoint aFrom,
+                 flow::Endpoint aTo,
+                 const flow::Bytes& aPacket)
+{
+  for (const unsigned delay : mLinks.carry(aFrom, aTo)) {
     if (delay == 0) {
-      mSocket.queue(aTo, aPacket);
+      aSocket.queue(aTo, aPacket);
+      aSocket.flush();
       continue;
     }
-    mLoop.after(std::chrono::milliseconds(delay), [this, aTo, aPacket] {
-      mSocket.queue(aTo, aPacket);
-      mSocket.flush();
+    mLoop.after(std::chrono::milliseconds(delay), [&aSocket, aTo, aPacket] {
+      aSocket.queue(aTo, aPacket);
+      aSocket.flush();
     });
   }
 }
