--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -4,7 +4,8 @@
 
 ServiceRoutes::ServiceRoutes(const config::Configuration& aConfiguration,
                              const config::Service& aService)
-  : mService(&aService)
+  : mConfiguration(&aConfiguration)
+  , mService(&aService)
   , mIdentity(config::upstreamIdentity(aService.mName, ""))
   , mReceivers(aService,
                [&](const auto& aUpstream) { return aConfiguration.mayReceive(aUpstream); })
@@ -15,6 +16,16 @@
 {
 }
 
+bool ServiceRoutes::mayReceive(flow::Endpoint aAgent) const
+{
+  for (const auto& upstream : mService->mUpstreams) {
+    if (upstream.mAgent == aAgent) {
+      return mConfiguration->mayReceive(upstream);
+    }
+  }
+  return false;
+}
+
 std::vector<flow::Endpoint> ServiceRoutes::candidates(std::uint64_t aFlowHash,
                                                       bool aOpensFlow,
                                                       std::size_t aLimit) const
