--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -29,7 +29,7 @@
   const auto found = std::find(aCandidates.begin(), aCandidates.end(), *owner);
   if (found != aCandidates.end()) {
     std::rotate(aCandidates.begin(), found, found + 1);
-  } else if (routing::mayReceive(mTable.configuration(), aRoutes, *owner)) {
+  } else if (aRoutes.mayReceive(*owner)) {
     aCandidates.insert(aCandidates.begin(), *owner);
   }
 }
@@ -40,8 +40,8 @@
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
   wire::Forward forward;
-  forward.mCandidates = routing::chunkOf(aRoutes, key, aPacket.opensFlow(), 0);
-  forward.mIsComplete = routing::isLastChunk(aRoutes, 0);
+  forward.mCandidates = aRoutes.candidates(key.hash(), aPacket.opensFlow(), routing::kChunk);
+  forward.mIsComplete = aRoutes.receivers() <= routing::kChunk;
   preferOwner(key, aRoutes, forward.mCandidates);
   const std::size_t suspects = mPeers.deferSuspects(forward.mCandidates, 0);
   // A suspect that would have been asked stays in use, so that it goes on being probed.
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -15,14 +15,4 @@
   return agents;
 }
 
-bool mayReceive(const config::Configuration& aConfiguration,
-                const ServiceRoutes& aRoutes,
-                flow::Endpoint aAgent)
-{
-  const auto& upstreams = aRoutes.service().mUpstreams;
-  return std::any_of(upstreams.begin(), upstreams.end(), [&](const config::Upstream& aUpstream) {
-    return aUpstream.mAgent == aAgent && aConfiguration.mayReceive(aUpstream);
-  });
-}
-
 } // namespace cornelcross::routing
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -21,9 +21,4 @@
   return (aChunk + 1) * kChunk >= aRoutes.receivers();
 }
 
-/// @brief True if aAgent is listed for the service and its availability zone is in.
-bool mayReceive(const config::Configuration& aConfiguration,
-                const ServiceRoutes& aRoutes,
-                flow::Endpoint aAgent);
-
 } // namespace cornelcross::routing
--- a/tests/unit/test_document_store.cpp
+++ b/tests/unit/test_document_store.cpp
@@ -10,6 +10,8 @@
 const std::string kZonesOut = R"({"zones": [{"name": "a", "state": "out"}]})";
 const std::string kService = R"({"address": "198.51.100.1:80", "upstreams": [{"name": "u",
   "agent": "127.0.0.1:1", "address": "127.0.0.1:2", "zone": "a", "slots": 1, "state": "serving"}]})";
+const std::string kOtherService = R"({"address": "198.51.100.2:80", "upstreams": [{"name": "u",
+  "agent": "127.0.0.2:1", "address": "127.0.0.2:2", "zone": "a", "slots": 1, "state": "serving"}]})";
 
 } // namespace
 
@@ -62,9 +64,9 @@
 BOOST_AUTO_TEST_CASE(shares_every_service_that_a_change_leaves_alone)
 {
   config::DocumentStore store;
-  store.merge(2, { { "service/x", 1, kService }, { "service/y", 2, kService } });
+  store.merge(2, { { "service/x", 1, kService }, { "service/y", 2, kOtherService } });
   const auto before = store.configuration();
-  store.merge(3, { { "service/y", 3, kService } });
+  store.merge(3, { { "service/y", 3, kOtherService } });
   const auto after = store.configuration();
   BOOST_TEST(after->mServices.at("x").mUpstreams.sharesWith(before->mServices.at("x").mUpstreams));
   BOOST_TEST(!after->mServices.at("y").mUpstreams.sharesWith(before->mServices.at("y").mUpstreams));
@@ -82,7 +84,8 @@
 BOOST_AUTO_TEST_CASE(batches_follow_each_other_without_a_gap)
 {
   config::DocumentStore full;
-  full.merge(9, { { "service/x", 3, kService }, { "service/y", 3, kService }, { "zones", 7, {} } });
+  full.merge(
+    9, { { "service/x", 3, kService }, { "service/y", 3, kOtherService }, { "zones", 7, {} } });
   const auto first = full.batchAfter(0, 1);
   BOOST_TEST(first.mDocuments.size() == 2U);
   BOOST_TEST(first.mRevision == 3U);
