--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -1,8 +1,11 @@
 #include "config/document_store.hpp"
 
+#include "config/cross_check.hpp"
 #include "config/parse.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace cornelcross::config {
 
@@ -22,6 +25,12 @@
   return aKey.substr(kServicePrefix.size());
 }
 
+bool isOlder(const Document& aLeft, const Document& aRight)
+{
+  return aLeft.mRevision != aRight.mRevision ? aLeft.mRevision < aRight.mRevision
+                                             : aLeft.mKey < aRight.mKey;
+}
+
 template<class T>
 Parsed<DocumentValue> widen(Parsed<T> aParsed)
 {
@@ -56,35 +65,92 @@
                                               const std::vector<Document>& aDocuments)
 {
   std::vector<ConfigError> errors;
-  std::shared_ptr<Configuration> next;
-  for (const Document& document : aDocuments) {
-    const auto found = mAccepted.find(document.mKey);
-    if (found != mAccepted.end() && found->second.mRevision >= document.mRevision) {
-      continue;
-    }
-    Parsed<DocumentValue> parsed = parseDocument(document);
-    if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
-      errors.insert(errors.end(), faults->begin(), faults->end());
-      std::uint64_t& rejected = mRejected[document.mKey];
-      rejected = std::max(rejected, document.mRevision);
-      continue;
-    }
-    if (!next) {
-      next = std::make_shared<Configuration>(*mConfiguration);
-    }
-    accept(document, std::get<DocumentValue>(std::move(parsed)), *next);
+  std::vector<Document> documents;
+  std::copy_if(aDocuments.begin(),
+               aDocuments.end(),
+               std::back_inserter(documents),
+               [this](const Document& aDocument) { return isNew(aDocument); });
+  const bool isAhead = aRevision > mRevision;
+  mRevision = std::max(mRevision, aRevision);
+  if (documents.empty() && !isAhead) {
+    return errors;
   }
-  if (aRevision > mRevision && !next) {
-    next = std::make_shared<Configuration>(*mConfiguration);
+  auto next = std::make_shared<Configuration>(*mConfiguration);
+  std::sort(documents.begin(), documents.end(), isOlder);
+  bool accepted = false;
+  for (const Document& document : documents) {
+    accepted = accept(document, errors, *next) || accepted;
   }
-  mRevision = std::max(mRevision, aRevision);
-  if (next) {
+  bool changed = isAhead;
+  while (accepted) {
+    changed = true;
+    accepted = retryConflicting(*next);
+  }
+  if (changed) {
     next->mRevision = mRevision;
     mConfiguration = std::move(next);
   }
   return errors;
 }
 
+bool DocumentStore::isNew(const Document& aDocument) const
+{
+  const auto found = mAccepted.find(aDocument.mKey);
+  return found == mAccepted.end() || found->second.mRevision < aDocument.mRevision;
+}
+
+bool DocumentStore::retryConflicting(Configuration& aNext)
+{
+  std::vector<Document> documents;
+  for (const auto& [key, document] : std::exchange(mConflicting, {})) {
+    documents.push_back(document);
+  }
+  std::sort(documents.begin(), documents.end(), isOlder);
+  std::vector<ConfigError> alreadyReported;
+  bool accepted = false;
+  for (const Document& document : documents) {
+    accepted = accept(document, alreadyReported, aNext) || accepted;
+  }
+  return accepted;
+}
+
+bool DocumentStore::accept(const Document& aDocument,
+                           std::vector<ConfigError>& aErrors,
+                           Configuration& aNext)
+{
+  if (!isNew(aDocument)) {
+    return false;
+  }
+  Parsed<DocumentValue> parsed = parseDocument(aDocument);
+  if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
+    aErrors.insert(aErrors.end(), faults->begin(), faults->end());
+    noteRejected(aDocument);
+    return false;
+  }
+  auto& value = std::get<DocumentValue>(parsed);
+  if (const auto* service = std::get_if<Service>(&value)) {
+    const std::vector<ConfigError> faults = crossCheck(*service, mEndpoints);
+    if (!faults.empty()) {
+      aErrors.insert(aErrors.end(), faults.begin(), faults.end());
+      mConflicting.insert_or_assign(aDocument.mKey, aDocument);
+      noteRejected(aDocument);
+      return false;
+    }
+    mEndpoints.store(*service);
+  } else if (isServiceKey(aDocument.mKey)) {
+    mEndpoints.erase(serviceName(aDocument.mKey));
+  }
+  mConflicting.erase(aDocument.mKey);
+  put(aDocument, std::move(value), aNext);
+  return true;
+}
+
+void DocumentStore::noteRejected(const Document& aDocument)
+{
+  std::uint64_t& rejected = mRejected[aDocument.mKey];
+  rejected = std::max(rejected, aDocument.mRevision);
+}
+
 std::vector<Document> DocumentStore::documentsAfter(std::uint64_t aRevision) const
 {
   return batchAfter(aRevision, SIZE_MAX).mDocuments;
@@ -129,7 +195,7 @@
   return keys;
 }
 
-void DocumentStore::accept(const Document& aDocument, DocumentValue aValue, Configuration& aNext)
+void DocumentStore::put(const Document& aDocument, DocumentValue aValue, Configuration& aNext)
 {
   const std::string& key = aDocument.mKey;
   Document& accepted = mAccepted[key];
@@ -137,7 +203,7 @@
   mByRevision.emplace(aDocument.mRevision, key);
   accepted = aDocument;
   const auto rejected = mRejected.find(key);
-  if (rejected != mRejected.end() && rejected->second < aDocument.mRevision) {
+  if (rejected != mRejected.end() && rejected->second <= aDocument.mRevision) {
     mRejected.erase(rejected);
   }
   if (auto* service = std::get_if<Service>(&aValue)) {
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -3,6 +3,7 @@
 #include "config/config_error.hpp"
 #include "config/configuration.hpp"
 #include "config/document_batch.hpp"
+#include "config/endpoint_index.hpp"
 
 #include <set>
 #include <variant>
@@ -19,6 +20,10 @@
 /// idempotent: documents may arrive from the configuration service and from peers, in any order
 /// and more than once, and no key ever reverts. A configuration shares with the one before it
 /// whatever did not change.
+///
+/// A service that uses an endpoint of another accepted service is rejected too. Documents are
+/// taken in the order of their revisions, so that the later one loses on every process, and such a
+/// rejected document is tried again whenever another one changes.
 class DocumentStore
 {
 public:
@@ -48,12 +53,18 @@
   ConfigurationPtr configuration() const { return mConfiguration; }
 
 private:
-  void accept(const Document& aDocument, DocumentValue aValue, Configuration& aNext);
+  bool isNew(const Document& aDocument) const;
+  bool accept(const Document& aDocument, std::vector<ConfigError>& aErrors, Configuration& aNext);
+  bool retryConflicting(Configuration& aNext);
+  void noteRejected(const Document& aDocument);
+  void put(const Document& aDocument, DocumentValue aValue, Configuration& aNext);
   static void remove(const std::string& aKey, Configuration& aNext);
 
   std::uint64_t mRevision = 0;
   std::map<std::string, Document> mAccepted;
-  std::map<std::string, std::uint64_t> mRejected;
+  std::map<std::string, std::uint64_t> mRejected; ///< revisions of the newest rejected documents
+  std::map<std::string, Document> mConflicting;   ///< newest documents that crossCheck() rejected
+  EndpointIndex mEndpoints;                       ///< of the accepted services
   std::set<std::pair<std::uint64_t, std::string>> mByRevision;
   ConfigurationPtr mConfiguration = std::make_shared<const Configuration>();
 };
