Hold control traffic to a budget by kind

Cause: nothing bounded what a process sends besides callers' packets; the size to design for grants 20 KB a second. Ruled out: dropping over the budget (a lost heartbeat costs a second of spreading), one queue in order of arrival (a burst of owner notices would hold back confirmations). Change: a token bucket of which each kind leaves a part to the more important ones, and a bounded queue a kind in front of it; a heartbeat message to tell peers a revision. Documents may exceed the bucket and leave it in debt.

--- /dev/null
+++ b/src/membership/control_kind.cpp
@@ -0,0 +1,56 @@
+#include "membership/control_kind.hpp"
+
+namespace cornelcross::membership {
+
+namespace {
+
+std::optional<ControlKind> kindOf(const wire::Forward&)
+{
+  return std::nullopt;
+}
+
+std::optional<ControlKind> kindOf(const wire::Heartbeat& aHeartbeat)
+{
+  return aHeartbeat.mWantsReply || aHeartbeat.mIsReply ? ControlKind::kConfirmation
+                                                       : ControlKind::kHeartbeat;
+}
+
+std::optional<ControlKind> kindOf(const wire::LoadReport&)
+{
+  return ControlKind::kLoadReport;
+}
+
+std::optional<ControlKind> kindOf(const wire::OwnerNotice&)
+{
+  return ControlKind::kOwnerNotice;
+}
+
+} // namespace
+
+std::string_view toString(ControlKind aKind)
+{
+  switch (aKind) {
+    case ControlKind::kConfirmation:
+      return "confirmation";
+    case ControlKind::kPull:
+      return "pull";
+    case ControlKind::kServiceRead:
+      return "service_read";
+    case ControlKind::kHeartbeat:
+      return "heartbeat";
+    case ControlKind::kProbe:
+      return "probe";
+    case ControlKind::kLoadReport:
+      return "load_report";
+    case ControlKind::kOwnerNotice:
+      return "owner_notice";
+  }
+  return "unknown";
+}
+
+std::optional<ControlKind> controlKindOf(const wire::Message& aMessage)
+{
+  return std::visit([](const auto& aAlternative) { return kindOf(aAlternative); }, aMessage);
+}
+
+} // namespace cornelcross::membership
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wire/forward.hpp"
+#include "wire/heartbeat.hpp"
 #include "wire/load_report.hpp"
 #include "wire/owner_notice.hpp"
 
@@ -10,7 +11,7 @@
 
 /// @brief Every message that travels in a datagram. The index is the message's kind on the wire,
 /// so that new ones go at the end.
-using Message = std::variant<Forward, OwnerNotice, LoadReport>;
+using Message = std::variant<Forward, OwnerNotice, LoadReport, Heartbeat>;
 
 /// @brief One datagram between two processes of the system.
 struct Frame
--- /dev/null
+++ b/tests/unit/test_control_budget.cpp
@@ -0,0 +1,68 @@
+#include "membership/control_queue.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace std::chrono_literals;
+using membership::ControlKind;
+
+namespace {
+
+const base::Time kStart{ 1h };
+
+membership::ControlDatagram datagram(ControlKind aKind)
+{
+  return { aKind, {}, flow::Bytes(72) }; // 100 bytes on the network
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_budget)
+
+BOOST_AUTO_TEST_CASE(over_the_budget_the_least_important_kind_waits_first)
+{
+  membership::ControlBudget budget(10000, 1s);
+  membership::ControlQueue queue(budget);
+  std::map<ControlKind, std::size_t> sent;
+  for (int i = 0; i < 100; ++i) {
+    for (const auto kind :
+         { ControlKind::kOwnerNotice, ControlKind::kLoadReport, ControlKind::kHeartbeat }) {
+      for (const auto& ready : queue.offer(kStart, datagram(kind))) {
+        ++sent[ready.mKind];
+      }
+    }
+  }
+  BOOST_TEST(sent[ControlKind::kOwnerNotice] < sent[ControlKind::kLoadReport]);
+  BOOST_TEST(sent[ControlKind::kLoadReport] < sent[ControlKind::kHeartbeat]);
+  BOOST_TEST(queue.waiting(ControlKind::kOwnerNotice) > 0U);
+  BOOST_TEST(queue.offer(kStart, datagram(ControlKind::kConfirmation)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(what_waited_leaves_once_the_budget_allows_it)
+{
+  membership::ControlBudget budget(1000, 1s);
+  membership::ControlQueue queue(budget);
+  budget.charge(kStart, 1000);
+  BOOST_TEST(queue.offer(kStart, datagram(ControlKind::kLoadReport)).empty());
+  BOOST_TEST(queue.drain(kStart + 400ms).empty());
+  BOOST_TEST(queue.drain(kStart + 500ms).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_rate_holds_in_the_long_run_whatever_is_offered)
+{
+  membership::ControlBudget budget(20000, 5s);
+  membership::ControlQueue queue(budget);
+  std::size_t bytes = 0;
+  for (int tick = 0; tick < 600; ++tick) {
+    for (int i = 0; i < 100; ++i) {
+      const auto kind = static_cast<ControlKind>(i % membership::kControlKinds);
+      for (const auto& ready : queue.offer(kStart + tick * 100ms, datagram(kind))) {
+        bytes += networkBytes(ready);
+      }
+    }
+  }
+  BOOST_TEST(bytes <= 20000U * 65 + 100);
+  BOOST_TEST(bytes >= 20000U * 55);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
