Spread the configuration between peers

Cause: every process held a watch at the configuration service: 24,500 of them would make about 2,450 calls a second when idle, above its 2,000, and a starting or woken process acted on whatever a stale service said. Change: push-pull epidemic. Frames carry revisions, a process that is behind pulls the difference from one that is ahead over TCP, compressed, on a new connection with a deadline. Readers are chosen by rendezvous hashing in each zone; heartbeats tell the age of the newest answer of the service, so that others read it only when nobody does. Nothing is forwarded after a start or a pause of two seconds before a peer, or the service and a second's wait for peers, has confirmed the revision; after five seconds a process acts on what it has. A process asks peers for an accepted version of a document that it rejected.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,5 +1,6 @@
 #include "agent/shell.hpp"
 #include "base/settings.hpp"
+#include "membership/flags.hpp"
 
 #include <gflags/gflags.h>
 #include <iostream>
@@ -9,7 +10,6 @@
               "",
               "ADDRESS:PORT of this agent as the configuration lists it; --listen if empty");
 DEFINE_string(admin, "", "ADDRESS:PORT for /metrics, /status and /healthz");
-DEFINE_string(config_service, "", "ADDRESS:PORT of the configuration service");
 DEFINE_string(fabric, "", "ADDRESS:PORT to which IP packets for callers are sent in UDP");
 DEFINE_string(name, "agent", "name of this process in logs");
 DEFINE_uint32(max_flows, 2000, "connections that the upstream holds at most");
@@ -28,7 +28,7 @@
   settings.mAgent.mMaxFlows = FLAGS_max_flows;
   settings.mAgent.mMaxSegment = static_cast<std::uint16_t>(FLAGS_max_segment);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
-  settings.mConfigService = check.endpoint("config_service", FLAGS_config_service);
+  settings.mMembership = membership::readFlags(check, settings.mAgent.mSelf, settings.mListen);
   settings.mFabric = check.endpoint("fabric", FLAGS_fabric);
   settings.mName = FLAGS_name;
   settings.mLogFlows = FLAGS_log_flows;
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -22,16 +22,22 @@
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAgent)
   , mSocket(aSettings.mListen)
-  , mConfig(aSettings.mConfigService,
-            mLog,
-            [this](config::ConfigurationPtr aConfiguration) {
-              perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
-            })
+  , mMembership(
+      aSettings.mMembership,
+      mLog,
+      mMetrics,
+      [this](flow::Endpoint aTo, flow::Bytes aBytes) {
+        mSocket.queue(aTo, std::move(aBytes));
+        mSocket.flush();
+      },
+      [this](config::ConfigurationPtr aConfiguration) {
+        perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
+      })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mDecisions.revision() > 0; })
+      [this] { return mMembership.mayForward(); })
 {
 }
 
@@ -50,7 +56,7 @@
   });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
-  mConfig.start();
+  mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
@@ -58,7 +64,7 @@
 void Shell::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   if (wire::isFrame(aDatagram)) {
-    onFrame(aDatagram);
+    onFrame(aDatagram, aFrom);
     return;
   }
   const auto& upstream = mDecisions.upstream();
@@ -66,11 +72,15 @@
     countDrop("unknown_sender");
     return;
   }
+  if (!mMembership.mayForward()) {
+    countDrop("unconfirmed");
+    return;
+  }
   perform(mDecisions.onUpstreamPacket(net::MainLoop::now(),
                                       flow::Bytes(aDatagram.begin(), aDatagram.end())));
 }
 
-void Shell::onFrame(std::span<const std::byte> aDatagram)
+void Shell::onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
@@ -78,7 +88,12 @@
     return;
   }
   auto& frame = std::get<wire::Frame>(decoded);
+  mMembership.onFrame(aFrom, frame, aDatagram.size());
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
+    if (!mMembership.mayForward()) {
+      countDrop("unconfirmed");
+      return;
+    }
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
   }
 }
@@ -102,7 +117,12 @@
 
 void Shell::perform(SendMessage& aAction)
 {
-  mSocket.queue(aAction.mTo, wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+  if (std::holds_alternative<wire::Forward>(aAction.mMessage)) {
+    mSocket.queue(aAction.mTo,
+                  wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+    return;
+  }
+  mMembership.send(aAction.mTo, aAction.mMessage);
 }
 
 void Shell::perform(const DropPacket& aAction)
@@ -137,7 +157,8 @@
            { "state", upstream ? std::string(toString(upstream->mState)) : "unlisted" },
            { "flows", mDecisions.flows().size() },
            { "busy", admission.busy() },
-           { "limit", admission.limit() } };
+           { "limit", admission.limit() },
+           { "membership", mMembership.status() } };
 }
 
 } // namespace cornelcross::agent
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "agent/decisions.hpp"
+#include "membership/shell.hpp"
 #include "net/admin_server.hpp"
-#include "net/config_reader.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
 #include "wire/codec.hpp"
@@ -12,13 +12,13 @@
 /// @brief Settings of an agent process.
 struct ShellSettings
 {
-  AgentSettings mAgent;          ///< settings of the decisions
-  flow::Endpoint mListen;        ///< datagrams from balancers, agents and the upstream
-  flow::Endpoint mAdmin;         ///< HTTP for metrics, status and health
-  flow::Endpoint mConfigService; ///< configuration service
-  flow::Endpoint mFabric;        ///< where IP packets for callers are sent
-  std::string mName;             ///< name in logs
-  bool mLogFlows = false;        ///< log an event for each flow
+  AgentSettings mAgent;   ///< settings of the decisions
+  flow::Endpoint mListen; ///< datagrams from balancers, agents and the upstream
+  flow::Endpoint mAdmin;  ///< HTTP for metrics, status and health
+  flow::Endpoint mFabric; ///< where IP packets for callers are sent
+  std::string mName;      ///< name in logs
+  membership::ShellSettings mMembership;
+  bool mLogFlows = false; ///< log an event for each flow
 
   auto operator<=>(const ShellSettings&) const = default;
 };
@@ -34,7 +34,7 @@
 
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
-  void onFrame(std::span<const std::byte> aDatagram);
+  void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void perform(Actions aActions);
   void perform(DeliverToUpstream& aAction);
   void perform(SendToCaller& aAction);
@@ -50,7 +50,7 @@
   telemetry::Metrics mMetrics;
   Decisions mDecisions;
   net::UdpSocket mSocket;
-  net::ConfigReader mConfig;
+  membership::Shell mMembership;
   net::AdminServer mAdmin;
 };
 
--- a/src/balancer/main.cpp
+++ b/src/balancer/main.cpp
@@ -1,5 +1,6 @@
 #include "balancer/shell.hpp"
 #include "base/settings.hpp"
+#include "membership/flags.hpp"
 
 #include <gflags/gflags.h>
 #include <iostream>
@@ -7,7 +8,6 @@
 DEFINE_string(listen, "", "ADDRESS:PORT for IP packets in UDP from the fabric and for agents");
 DEFINE_string(advertise, "", "ADDRESS:PORT at which others reach this process; --listen if empty");
 DEFINE_string(admin, "", "ADDRESS:PORT for /metrics, /status and /healthz");
-DEFINE_string(config_service, "", "ADDRESS:PORT of the configuration service");
 DEFINE_string(name, "balancer", "name of this process in logs");
 DEFINE_uint32(owner_cache, 131072, "flows per generation whose owner is remembered");
 
@@ -21,7 +21,7 @@
   settings.mAdvertise =
     FLAGS_advertise.empty() ? settings.mListen : check.endpoint("advertise", FLAGS_advertise);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
-  settings.mConfigService = check.endpoint("config_service", FLAGS_config_service);
+  settings.mMembership = membership::readFlags(check, settings.mAdvertise, settings.mListen);
   settings.mName = FLAGS_name;
   settings.mCacheCapacity = FLAGS_owner_cache;
   check.range("owner_cache", FLAGS_owner_cache, 1, 16777216);
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -9,16 +9,22 @@
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAdvertise, aSettings.mCacheCapacity)
   , mSocket(aSettings.mListen)
-  , mConfig(aSettings.mConfigService,
-            mLog,
-            [this](config::ConfigurationPtr aConfiguration) {
-              mDecisions.apply(std::move(aConfiguration));
-            })
+  , mMembership(
+      aSettings.mMembership,
+      mLog,
+      mMetrics,
+      [this](flow::Endpoint aTo, flow::Bytes aBytes) {
+        mSocket.queue(aTo, std::move(aBytes));
+        mSocket.flush();
+      },
+      [this](config::ConfigurationPtr aConfiguration) {
+        mDecisions.apply(std::move(aConfiguration));
+      })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mDecisions.revision() > 0; })
+      [this] { return mMembership.mayForward(); })
   , mPath(mDecisions, mSocket, [this](DropReason aReason) { countDrop(toString(aReason)); })
   , mPackets(mMetrics.counter("cornelcross_packets_received_total", "IP packets from the fabric"))
 {
@@ -26,30 +32,33 @@
 
 void Shell::run()
 {
-  mSocket.onDatagram(
-    [this](std::span<const std::byte> aDatagram, flow::Endpoint) { onDatagram(aDatagram); });
+  mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
+    onDatagram(aDatagram, aFrom);
+  });
   mLoop.onTerminate([this] {
     mLog.write({ telemetry::EventKind::kProcessStopping, {} });
     mLoop.quit();
   });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
-  mConfig.start();
+  mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
 
-void Shell::onDatagram(std::span<const std::byte> aDatagram)
+void Shell::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   if (wire::isFrame(aDatagram)) {
-    onFrame(aDatagram);
+    onFrame(aDatagram, aFrom);
+  } else if (!mMembership.mayForward()) {
+    countDrop("unconfirmed");
   } else {
     mPath.handle(net::MainLoop::now(), aDatagram);
     mPackets.Increment();
   }
 }
 
-void Shell::onFrame(std::span<const std::byte> aDatagram)
+void Shell::onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   const auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
@@ -57,6 +66,7 @@
     return;
   }
   const auto& frame = std::get<wire::Frame>(decoded);
+  mMembership.onFrame(aFrom, frame, aDatagram.size());
   if (const auto* notice = std::get_if<wire::OwnerNotice>(&frame.mMessage)) {
     mDecisions.learn(net::MainLoop::now(), *notice);
   }
@@ -75,7 +85,8 @@
 {
   return { { "name", mSettings.mName },
            { "role", "balancer" },
-           { "revision", mDecisions.revision() } };
+           { "revision", mDecisions.revision() },
+           { "membership", mMembership.status() } };
 }
 
 } // namespace cornelcross::balancer
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -2,8 +2,8 @@
 
 #include "balancer/decisions.hpp"
 #include "balancer/packet_path.hpp"
+#include "membership/shell.hpp"
 #include "net/admin_server.hpp"
-#include "net/config_reader.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
 #include "wire/codec.hpp"
@@ -13,10 +13,10 @@
 /// @brief Settings of a balancer process.
 struct BalancerSettings
 {
-  flow::Endpoint mListen;         ///< IP in UDP from the fabric, messages from agents
-  flow::Endpoint mAdvertise;      ///< where agents reach this balancer
-  flow::Endpoint mAdmin;          ///< HTTP for metrics, status and health
-  flow::Endpoint mConfigService;  ///< configuration service
+  flow::Endpoint mListen;    ///< IP in UDP from the fabric, messages from agents
+  flow::Endpoint mAdvertise; ///< where agents reach this balancer
+  flow::Endpoint mAdmin;     ///< HTTP for metrics, status and health
+  membership::ShellSettings mMembership;
   std::size_t mCacheCapacity = 0; ///< flows per generation of the owner cache
   std::string mName;              ///< name in logs
 
@@ -33,8 +33,8 @@
   void run();
 
 private:
-  void onDatagram(std::span<const std::byte> aDatagram);
-  void onFrame(std::span<const std::byte> aDatagram);
+  void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void countDrop(std::string_view aReason);
   nlohmann::json status() const;
 
@@ -44,7 +44,7 @@
   telemetry::Metrics mMetrics;
   Decisions mDecisions;
   net::UdpSocket mSocket;
-  net::ConfigReader mConfig;
+  membership::Shell mMembership;
   net::AdminServer mAdmin;
   PacketPath mPath;
   prometheus::Counter& mPackets;
--- a/src/config/upstream_list.hpp
+++ b/src/config/upstream_list.hpp
@@ -32,6 +32,15 @@
   /// @brief Appends an element. @note O(n) if the elements are shared
   void push_back(Upstream aUpstream) { mutableElements().push_back(std::move(aUpstream)); }
 
+  /// @brief Removes the elements from aFirst up to but not aLast. @note O(n)
+  void erase(const_iterator aFirst, const_iterator aLast)
+  {
+    const auto first = aFirst - begin();
+    const auto last = aLast - begin();
+    auto& elements = mutableElements();
+    elements.erase(elements.begin() + first, elements.begin() + last);
+  }
+
   /// @brief Removes the last element. @note O(n) if the elements are shared
   void pop_back() { mutableElements().pop_back(); }
 
--- /dev/null
+++ b/src/membership/backoff.cpp
@@ -0,0 +1,15 @@
+#include "membership/backoff.hpp"
+
+#include <algorithm>
+
+namespace cornelcross::membership {
+
+base::Duration Backoff::next(Random& aRandom)
+{
+  // Full jitter (Brooker, "Exponential backoff and jitter", 2015), but never at once.
+  const base::Duration delay = aRandom.between(mMin / 2, mBound);
+  mBound = std::min(mMax, mBound * 2);
+  return delay;
+}
+
+} // namespace cornelcross::membership
--- /dev/null
+++ b/src/membership/flags.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/settings.hpp"
+#include "membership/shell.hpp"
+
+namespace cornelcross::membership {
+
+/// @brief Settings of the membership from --peers, --zone, --config_service, --config_readers and
+/// --control_budget, which every program of the fleet has.
+/// @param aSelf   this process, as others reach it
+/// @param aListen where it listens
+ShellSettings readFlags(base::SettingsCheck& aCheck, flow::Endpoint aSelf, flow::Endpoint aListen);
+
+} // namespace cornelcross::membership
--- /dev/null
+++ b/src/membership/shell.cpp
@@ -0,0 +1,224 @@
+#include "membership/shell.hpp"
+
+#include "wire/codec.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+
+namespace cornelcross::membership {
+
+namespace {
+
+using telemetry::EventKind;
+
+constexpr base::Duration kTick = std::chrono::milliseconds(100);
+constexpr base::Duration kBudgetBurst = std::chrono::seconds(5);
+constexpr std::size_t kMaxPullBytes = 256 * 1024; // text of documents in one reply
+constexpr std::size_t kStreamOverhead = 400;      // bytes: TCP and IP headers of a short connection
+constexpr std::size_t kRequestBytes = 250;        // HTTP request with its headers
+
+} // namespace
+
+Shell::Shell(const ShellSettings& aSettings,
+             const telemetry::EventLog& aLog,
+             telemetry::Metrics& aMetrics,
+             Sender aSender,
+             Listener aListener)
+  : mSettings(aSettings)
+  , mLog(aLog)
+  , mMetrics(aMetrics)
+  , mSender(std::move(aSender))
+  , mListener(std::move(aListener))
+  , mDecisions(aSettings.mDecisions)
+  , mBudget(aSettings.mControlBytesPerSecond, kBudgetBurst)
+  , mQueue(mBudget)
+  , mService(aSettings.mConfigService,
+             [this](const net::ConfigResult& aResult) { onServiceResult(aResult); })
+  , mPullServer(
+      aSettings.mListen,
+      [this](std::span<const std::byte> aRequest) { return answerPull(aRequest); },
+      [this](std::size_t aBytes) {
+        mBudget.charge(net::MainLoop::now(), aBytes + kStreamOverhead);
+        count(ControlKind::kPull, "out", aBytes + kStreamOverhead);
+      })
+{
+}
+
+void Shell::start(net::MainLoop& aLoop)
+{
+  aLoop.every(kTick, [this] {
+    const base::Time now = net::MainLoop::now();
+    perform(mDecisions.onTick(now));
+    sendAll(mQueue.drain(now));
+  });
+  perform(mDecisions.start(net::MainLoop::now()));
+}
+
+void Shell::onFrame(flow::Endpoint aFrom, const wire::Frame& aFrame, std::size_t aBytes)
+{
+  if (const auto kind = controlKindOf(aFrame.mMessage)) {
+    count(*kind, "in", aBytes);
+  }
+  const base::Time now = net::MainLoop::now();
+  if (const auto* heartbeat = std::get_if<wire::Heartbeat>(&aFrame.mMessage)) {
+    perform(mDecisions.onHeartbeat(now, aFrame.mRevision, *heartbeat));
+  } else {
+    perform(mDecisions.onFrame(now, aFrom, aFrame.mRevision));
+  }
+}
+
+bool Shell::mayForward()
+{
+  perform(mDecisions.observe(net::MainLoop::now()));
+  return mDecisions.mayForward();
+}
+
+void Shell::send(flow::Endpoint aTo, const wire::Message& aMessage)
+{
+  const auto kind = controlKindOf(aMessage);
+  flow::Bytes bytes = wire::encode({ mStore.revision(), aMessage });
+  if (!kind) {
+    mSender(aTo, std::move(bytes));
+    return;
+  }
+  sendAll(mQueue.offer(net::MainLoop::now(), { *kind, aTo, std::move(bytes) }));
+}
+
+void Shell::sendAll(std::vector<ControlDatagram> aDatagrams)
+{
+  for (ControlDatagram& datagram : aDatagrams) {
+    count(datagram.mKind, "out", networkBytes(datagram));
+    mSender(datagram.mTo, std::move(datagram.mBytes));
+  }
+}
+
+void Shell::perform(const Actions& aActions)
+{
+  for (const Action& action : aActions) {
+    std::visit([this](const auto& aAction) { perform(aAction); }, action);
+  }
+}
+
+void Shell::perform(const SendHeartbeat& aAction)
+{
+  send(aAction.mTo, aAction.mHeartbeat);
+}
+
+void Shell::perform(const StartPull& aAction)
+{
+  const flow::Bytes request = wire::encode(aAction.mRequest);
+  const std::size_t bytes = request.size() + kStreamOverhead;
+  mBudget.charge(net::MainLoop::now(), bytes);
+  count(ControlKind::kPull, "out", bytes);
+  mPullClient.request(aAction.mPeer, request, [this](std::optional<net::ReceivedMessage> aReply) {
+    onPullReply(aReply);
+  });
+}
+
+void Shell::perform(const ReadService& aAction)
+{
+  mBudget.charge(net::MainLoop::now(), kRequestBytes);
+  count(ControlKind::kServiceRead, "out", kRequestBytes);
+  mService.read(aAction.mAfter, aAction.mWaitSeconds);
+}
+
+void Shell::perform(const telemetry::Event& aEvent)
+{
+  mLog.write(aEvent);
+}
+
+void Shell::onServiceResult(const net::ConfigResult& aResult)
+{
+  const auto* answer = std::get_if<net::ConfigAnswer>(&aResult);
+  mMetrics
+    .counter("cornelcross_config_service_calls_total",
+             "Calls to the configuration service that ended, by result",
+             { { "result", answer == nullptr ? "failed" : "answered" } })
+    .Increment();
+  if (answer == nullptr) {
+    perform(telemetry::Event{ EventKind::kConfigUnavailable,
+                              { { "reason", std::get<net::ConfigFailure>(aResult).mReason } } });
+    perform(mDecisions.onServiceAnswer(net::MainLoop::now(), std::nullopt));
+    return;
+  }
+  mBudget.charge(net::MainLoop::now(), answer->mBytes);
+  count(ControlKind::kServiceRead, "in", answer->mBytes);
+  merge(answer->mBatch, "service");
+  perform(mDecisions.onServiceAnswer(net::MainLoop::now(), answer->mBatch.mRevision));
+}
+
+void Shell::onPullReply(const std::optional<net::ReceivedMessage>& aReply)
+{
+  std::optional<wire::PullReply> reply;
+  if (aReply) {
+    mBudget.charge(net::MainLoop::now(), aReply->mWireBytes);
+    count(ControlKind::kPull, "in", aReply->mWireBytes);
+    reply = wire::decodePullReply(aReply->mBody);
+  }
+  if (!reply || reply->mIsBusy) {
+    perform(mDecisions.onPulled(net::MainLoop::now(), std::nullopt));
+    return;
+  }
+  merge(reply->mBatch, "peer");
+  perform(mDecisions.onPulled(net::MainLoop::now(), reply->mBatch.mRevision));
+}
+
+flow::Bytes Shell::answerPull(std::span<const std::byte> aRequest)
+{
+  wire::PullReply reply;
+  const auto request = wire::decodePullRequest(aRequest);
+  reply.mIsBusy = !request || mBudget.level(net::MainLoop::now()) <= 0;
+  if (!reply.mIsBusy) {
+    reply.mBatch = mStore.batchAfter(request->mAfter, kMaxPullBytes);
+    for (config::Document& document : mStore.documentsOf(request->mKeys)) {
+      reply.mBatch.mDocuments.push_back(std::move(document));
+    }
+  }
+  return wire::encode(reply);
+}
+
+void Shell::merge(const config::DocumentBatch& aBatch, const std::string& aSource)
+{
+  const config::ConfigurationPtr before = mStore.configuration();
+  for (const auto& error : mStore.merge(aBatch.mRevision, aBatch.mDocuments)) {
+    mLog.write({ EventKind::kConfigRejected,
+                 { { "revision", std::to_string(aBatch.mRevision) },
+                   { "source", aSource },
+                   { "error", error.toString() } } });
+  }
+  if (mStore.configuration() == before) {
+    return;
+  }
+  mLog.write({ EventKind::kConfigApplied,
+               { { "revision", std::to_string(mStore.revision()) }, { "source", aSource } } });
+  mMetrics.gauge("cornelcross_config_revision", "Configuration revision in force")
+    .Set(static_cast<double>(mStore.revision()));
+  mListener(mStore.configuration());
+  perform(mDecisions.apply(net::MainLoop::now(), *mStore.configuration(), mStore.rejectedKeys()));
+}
+
+void Shell::count(ControlKind aKind, const std::string& aDirection, std::size_t aBytes)
+{
+  const telemetry::Metrics::Labels labels{ { "kind", std::string(toString(aKind)) },
+                                           { "direction", aDirection } };
+  mMetrics
+    .counter("cornelcross_control_bytes_total", "Bytes of control traffic with headers", labels)
+    .Increment(static_cast<double>(aBytes));
+  mMetrics.counter("cornelcross_control_messages_total", "Control messages", labels).Increment();
+}
+
+nlohmann::json Shell::status() const
+{
+  const auto age = mDecisions.serviceAge(net::MainLoop::now());
+  nlohmann::json status = { { "may_forward", mDecisions.mayForward() },
+                            { "reads_service", mDecisions.isReader() },
+                            { "service_calls", mService.calls() },
+                            { "peers", mDecisions.peers() },
+                            { "control_dropped", mQueue.dropped() } };
+  if (age) {
+    status["service_age_seconds"] = std::chrono::duration<double>(*age).count();
+  }
+  return status;
+}
+
+} // namespace cornelcross::membership
--- /dev/null
+++ b/src/net/pull_server.cpp
@@ -0,0 +1,114 @@
+#include "net/pull_server.hpp"
+
+#include "net/stream_message.hpp"
+
+#include <stdexcept>
+
+namespace cornelcross::net {
+
+namespace {
+
+constexpr std::size_t kMaxConnections = 32;
+constexpr guint kDeadlineMilliseconds = 5000;
+
+} // namespace
+
+struct PullServer::Connection
+{
+  Connection(GSocketConnection* aStream, std::shared_ptr<std::size_t> aOpen)
+    : mStream(G_IO_STREAM(g_object_ref(aStream))), mOpen(std::move(aOpen))
+  {
+    ++*mOpen;
+  }
+
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  ~Connection()
+  {
+    --*mOpen;
+    if (mTimer != 0) {
+      g_source_remove(mTimer);
+    }
+    g_object_unref(mStream);
+    g_object_unref(mCancellable);
+  }
+
+  GIOStream* mStream;
+  std::shared_ptr<std::size_t> mOpen;
+  GCancellable* mCancellable = g_cancellable_new();
+  guint mTimer = 0;
+};
+
+PullServer::PullServer(flow::Endpoint aLocal, Handler aHandler, Sent aSent)
+  : mHandler(std::move(aHandler)), mSent(std::move(aSent)), mService(g_socket_service_new())
+{
+  GError* error = nullptr;
+  GSocketAddress* address =
+    g_inet_socket_address_new_from_string(aLocal.mAddress.toString().c_str(), aLocal.mPort);
+  const gboolean isListening = g_socket_listener_add_address(G_SOCKET_LISTENER(mService),
+                                                             address,
+                                                             G_SOCKET_TYPE_STREAM,
+                                                             G_SOCKET_PROTOCOL_TCP,
+                                                             nullptr,
+                                                             nullptr,
+                                                             &error);
+  g_object_unref(address);
+  if (isListening == FALSE) {
+    const std::string message = "cannot listen on " + aLocal.toString() + ": " + error->message;
+    g_error_free(error);
+    g_object_unref(mService);
+    throw std::runtime_error(message);
+  }
+  g_signal_connect(mService, "incoming", G_CALLBACK(&PullServer::onIncoming), this);
+}
+
+PullServer::~PullServer()
+{
+  g_signal_handlers_disconnect_by_data(mService, this);
+  g_socket_service_stop(mService);
+  g_socket_listener_close(G_SOCKET_LISTENER(mService));
+  g_object_unref(mService);
+}
+
+gboolean PullServer::onIncoming(GSocketService*,
+                                GSocketConnection* aConnection,
+                                GObject*,
+                                gpointer aSelf)
+{
+  const auto* self = static_cast<const PullServer*>(aSelf);
+  if (*self->mOpen >= kMaxConnections) {
+    return TRUE; // closed without an answer; the peer asks another one
+  }
+  auto connection = std::make_shared<Connection>(aConnection, self->mOpen);
+  connection->mTimer =
+    g_timeout_add(kDeadlineMilliseconds, &PullServer::onDeadline, connection.get());
+  readMessage(g_io_stream_get_input_stream(connection->mStream),
+              connection->mCancellable,
+              [self, connection](const std::optional<ReceivedMessage>& aRequest) {
+                if (aRequest) {
+                  self->answer(connection, aRequest->mBody);
+                }
+              });
+  return TRUE;
+}
+
+gboolean PullServer::onDeadline(gpointer aConnection)
+{
+  auto* connection = static_cast<Connection*>(aConnection);
+  connection->mTimer = 0;
+  g_cancellable_cancel(connection->mCancellable);
+  return G_SOURCE_REMOVE;
+}
+
+void PullServer::answer(const std::shared_ptr<Connection>& aConnection,
+                        std::span<const std::byte> aRequest) const
+{
+  writeMessage(
+    g_io_stream_get_output_stream(aConnection->mStream),
+    aConnection->mCancellable,
+    mHandler(aRequest),
+    [sent = mSent, aConnection](std::optional<std::size_t> aCount) { sent(aCount.value_or(0)); });
+}
+
+} // namespace cornelcross::net
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -17,6 +17,10 @@
       return "config_rejected";
     case EventKind::kConfigUnavailable:
       return "config_unavailable";
+    case EventKind::kConfigConfirmed:
+      return "config_confirmed";
+    case EventKind::kProcessPaused:
+      return "process_paused";
     case EventKind::kFlowOpened:
       return "flow_opened";
     case EventKind::kFlowClosed:
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -16,6 +16,8 @@
   kConfigApplied,
   kConfigRejected,
   kConfigUnavailable,
+  kConfigConfirmed,
+  kProcessPaused,
   kFlowOpened,
   kFlowClosed,
   kFlowRefused,
--- /dev/null
+++ b/src/wire/pull.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "config/document_batch.hpp"
+#include "flow/packet_edit.hpp"
+
+#include <optional>
+#include <span>
+
+namespace cornelcross::wire {
+
+/// @brief Asks a peer over TCP for the documents that the sender lacks.
+struct PullRequest
+{
+  std::uint64_t mAfter = 0;       ///< revision up to which the sender has seen everything
+  std::vector<std::string> mKeys; ///< keys wanted whatever their revision
+
+  auto operator<=>(const PullRequest&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mAfter, mKeys);
+  }
+};
+
+/// @brief Answer to a PullRequest.
+struct PullReply
+{
+  bool mIsBusy = false; ///< nothing was looked up; ask another peer or later
+  config::DocumentBatch mBatch;
+
+  auto operator<=>(const PullReply&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mIsBusy, mBatch);
+  }
+};
+
+/// @brief Encodes a request as the body of one stream message.
+flow::Bytes encode(const PullRequest& aRequest);
+
+/// @brief Encodes a reply as the body of one stream message.
+flow::Bytes encode(const PullReply& aReply);
+
+/// @brief Decodes a request; empty if it is malformed.
+std::optional<PullRequest> decodePullRequest(std::span<const std::byte> aBody);
+
+/// @brief Decodes a reply; empty if it is malformed.
+std::optional<PullReply> decodePullReply(std::span<const std::byte> aBody);
+
+} // namespace cornelcross::wire
--- a/tests/unit/test_document_store.cpp
+++ b/tests/unit/test_document_store.cpp
@@ -8,8 +8,15 @@
 
 const std::string kZonesIn = R"({"zones": [{"name": "a", "state": "in"}]})";
 const std::string kZonesOut = R"({"zones": [{"name": "a", "state": "out"}]})";
-const std::string kService = R"({"address": "198.51.100.1:80", "upstreams": [{"name": "u",
-  "agent": "127.0.0.1:1", "address": "127.0.0.1:2", "zone": "a", "slots": 1, "state": "serving"}]})";
+
+/// A service with one upstream whose endpoints no other aNumber has.
+std::string serviceText(int aNumber)
+{
+  const std::string host = "127.0.0." + std::to_string(aNumber);
+  return R"({"address": "198.51.100.)" + std::to_string(aNumber) +
+         R"(:80", "upstreams": [{"name": "u", "agent": ")" + host + R"(:1", "address": ")" + host +
+         R"(:2", "zone": "a", "slots": 1, "state": "serving"}]})";
+}
 
 } // namespace
 
@@ -62,9 +69,9 @@
 BOOST_AUTO_TEST_CASE(shares_every_service_that_a_change_leaves_alone)
 {
   config::DocumentStore store;
-  store.merge(2, { { "service/x", 1, kService }, { "service/y", 2, kService } });
+  store.merge(2, { { "service/x", 1, serviceText(1) }, { "service/y", 2, serviceText(2) } });
   const auto before = store.configuration();
-  store.merge(3, { { "service/y", 3, kService } });
+  store.merge(3, { { "service/y", 3, serviceText(2) } });
   const auto after = store.configuration();
   BOOST_TEST(after->mServices.at("x").mUpstreams.sharesWith(before->mServices.at("x").mUpstreams));
   BOOST_TEST(!after->mServices.at("y").mUpstreams.sharesWith(before->mServices.at("y").mUpstreams));
@@ -73,7 +80,7 @@
 BOOST_AUTO_TEST_CASE(a_copy_of_a_service_that_is_changed_leaves_the_original_alone)
 {
   config::DocumentStore store;
-  store.merge(1, { { "service/x", 1, kService } });
+  store.merge(1, { { "service/x", 1, serviceText(1) } });
   auto copy = store.configuration()->mServices.at("x");
   copy.mUpstreams[0].mSlots = 9;
   BOOST_TEST(store.configuration()->mServices.at("x").mUpstreams[0].mSlots == 1U);
@@ -82,7 +89,10 @@
 BOOST_AUTO_TEST_CASE(batches_follow_each_other_without_a_gap)
 {
   config::DocumentStore full;
-  full.merge(9, { { "service/x", 3, kService }, { "service/y", 3, kService }, { "zones", 7, {} } });
+  full.merge(9,
+             { { "service/x", 3, serviceText(1) },
+               { "service/y", 3, serviceText(2) },
+               { "zones", 7, std::nullopt } });
   const auto first = full.batchAfter(0, 1);
   BOOST_TEST(first.mDocuments.size() == 2U);
   BOOST_TEST(first.mRevision == 3U);
