--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr base::Duration kTick = std::chrono::seconds(1);
+constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
 
 bool isFlowEvent(const telemetry::Event& aEvent)
 {
@@ -54,6 +55,10 @@
     perform(mDecisions.onTick(net::MainLoop::now()));
     mSocket.flush();
   });
+  mLoop.every(kProbeTick, [this] {
+    perform(mDecisions.onPeerTick(net::MainLoop::now()));
+    mSocket.flush();
+  });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
   mMembership.start(mLoop);
@@ -89,6 +94,11 @@
   }
   auto& frame = std::get<wire::Frame>(decoded);
   mMembership.onFrame(aFrom, frame, aDatagram.size());
+  mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
+  if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
+    SendMessage reply{ aFrom, wire::ProbeReply{ probe->mNonce } };
+    perform(reply);
+  }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
     if (!mMembership.mayForward()) {
       countDrop("unconfirmed");
@@ -156,6 +166,7 @@
            { "upstream", upstream ? upstream->mName : "" },
            { "state", upstream ? std::string(toString(upstream->mState)) : "unlisted" },
            { "flows", mDecisions.flows().size() },
+           { "suspected_agents", mDecisions.peers().suspects() },
            { "busy", admission.busy() },
            { "limit", admission.limit() },
            { "membership", mMembership.status() } };
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -4,6 +4,12 @@
 
 namespace cornelcross::balancer {
 
+namespace {
+
+constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
+
+} // namespace
+
 Shell::Shell(const BalancerSettings& aSettings)
   : mSettings(aSettings)
   , mLog(aSettings.mName)
@@ -27,6 +33,7 @@
       [this] { return mMembership.mayForward(); })
   , mPath(mDecisions, mSocket, [this](DropReason aReason) { countDrop(toString(aReason)); })
   , mPackets(mMetrics.counter("cornelcross_packets_received_total", "IP packets from the fabric"))
+  , mProbes(mMetrics.counter("cornelcross_probes_total", "Probes sent to peers"))
 {
 }
 
@@ -35,6 +42,7 @@
   mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
     onDatagram(aDatagram, aFrom);
   });
+  mLoop.every(kProbeTick, [this] { probePeers(); });
   mLoop.onTerminate([this] {
     mLog.write({ telemetry::EventKind::kProcessStopping, {} });
     mLoop.quit();
@@ -67,9 +75,21 @@
   }
   const auto& frame = std::get<wire::Frame>(decoded);
   mMembership.onFrame(aFrom, frame, aDatagram.size());
+  mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
   if (const auto* notice = std::get_if<wire::OwnerNotice>(&frame.mMessage)) {
     mDecisions.learn(net::MainLoop::now(), *notice);
   }
+  if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
+    mMembership.send(aFrom, wire::ProbeReply{ probe->mNonce });
+  }
+}
+
+void Shell::probePeers()
+{
+  for (const flow::Endpoint peer : mDecisions.peers().takeProbes(net::MainLoop::now())) {
+    mProbes.Increment();
+    mMembership.send(peer, wire::Probe{ ++mNonce });
+  }
 }
 
 void Shell::countDrop(std::string_view aReason)
@@ -86,6 +106,7 @@
   return { { "name", mSettings.mName },
            { "role", "balancer" },
            { "revision", mDecisions.revision() },
+           { "suspected_agents", mDecisions.peers().suspects() },
            { "membership", mMembership.status() } };
 }
 
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -35,6 +35,7 @@
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void probePeers();
   void countDrop(std::string_view aReason);
   nlohmann::json status() const;
 
@@ -48,6 +49,8 @@
   net::AdminServer mAdmin;
   PacketPath mPath;
   prometheus::Counter& mPackets;
+  prometheus::Counter& mProbes;
+  std::uint64_t mNonce = 0;
 };
 
 } // namespace cornelcross::balancer
--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -1,10 +1,10 @@
 #include "config/document_store.hpp"
 
+#include "base/mechanisms.hpp"
 #include "config/cross_check.hpp"
 #include "config/parse.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace cornelcross::config {
@@ -65,41 +65,36 @@
                                               const std::vector<Document>& aDocuments)
 {
   std::vector<ConfigError> errors;
-  std::vector<Document> documents;
-  std::copy_if(aDocuments.begin(),
-               aDocuments.end(),
-               std::back_inserter(documents),
-               [this](const Document& aDocument) { return isNew(aDocument); });
-  const bool isAhead = aRevision > mRevision;
-  mRevision = std::max(mRevision, aRevision);
-  if (documents.empty() && !isAhead) {
-    return errors;
-  }
-  auto next = std::make_shared<Configuration>(*mConfiguration);
+  std::vector<Document> documents = aDocuments;
   std::sort(documents.begin(), documents.end(), isOlder);
+  std::shared_ptr<Configuration> next;
   bool accepted = false;
   for (const Document& document : documents) {
-    accepted = accept(document, errors, *next) || accepted;
+    accepted = accept(document, next, errors) || accepted;
   }
-  bool changed = isAhead;
   while (accepted) {
-    changed = true;
-    accepted = retryConflicting(*next);
+    accepted = retryConflicting(next);
+  }
+  if (aRevision > mRevision) {
+    mRevision = aRevision;
+    editable(next);
   }
-  if (changed) {
+  if (next) {
     next->mRevision = mRevision;
     mConfiguration = std::move(next);
   }
   return errors;
 }
 
-bool DocumentStore::isNew(const Document& aDocument) const
+Configuration& DocumentStore::editable(std::shared_ptr<Configuration>& aNext) const
 {
-  const auto found = mAccepted.find(aDocument.mKey);
-  return found == mAccepted.end() || found->second.mRevision < aDocument.mRevision;
+  if (!aNext) {
+    aNext = std::make_shared<Configuration>(*mConfiguration);
+  }
+  return *aNext;
 }
 
-bool DocumentStore::retryConflicting(Configuration& aNext)
+bool DocumentStore::retryConflicting(std::shared_ptr<Configuration>& aNext)
 {
   std::vector<Document> documents;
   for (const auto& [key, document] : std::exchange(mConflicting, {})) {
@@ -109,31 +104,31 @@
   std::vector<ConfigError> alreadyReported;
   bool accepted = false;
   for (const Document& document : documents) {
-    accepted = accept(document, alreadyReported, aNext) || accepted;
+    accepted = accept(document, aNext, alreadyReported) || accepted;
   }
   return accepted;
 }
 
 bool DocumentStore::accept(const Document& aDocument,
-                           std::vector<ConfigError>& aErrors,
-                           Configuration& aNext)
+                           std::shared_ptr<Configuration>& aNext,
+                           std::vector<ConfigError>& aErrors)
 {
-  if (!isNew(aDocument)) {
+  const auto found = mAccepted.find(aDocument.mKey);
+  const bool isOld = found != mAccepted.end() && found->second.mRevision >= aDocument.mRevision;
+  if (isOld && base::mechanisms().mKeepRevisions) {
     return false;
   }
   Parsed<DocumentValue> parsed = parseDocument(aDocument);
   if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
-    aErrors.insert(aErrors.end(), faults->begin(), faults->end());
-    noteRejected(aDocument);
+    reject(aDocument, *faults, aErrors);
     return false;
   }
   auto& value = std::get<DocumentValue>(parsed);
   if (const auto* service = std::get_if<Service>(&value)) {
     const std::vector<ConfigError> faults = crossCheck(*service, mEndpoints);
     if (!faults.empty()) {
-      aErrors.insert(aErrors.end(), faults.begin(), faults.end());
+      reject(aDocument, faults, aErrors);
       mConflicting.insert_or_assign(aDocument.mKey, aDocument);
-      noteRejected(aDocument);
       return false;
     }
     mEndpoints.store(*service);
@@ -141,12 +136,16 @@
     mEndpoints.erase(serviceName(aDocument.mKey));
   }
   mConflicting.erase(aDocument.mKey);
-  put(aDocument, std::move(value), aNext);
+  keep(aDocument);
+  apply(aDocument.mKey, std::move(value), editable(aNext));
   return true;
 }
 
-void DocumentStore::noteRejected(const Document& aDocument)
+void DocumentStore::reject(const Document& aDocument,
+                           const std::vector<ConfigError>& aFaults,
+                           std::vector<ConfigError>& aErrors)
 {
+  aErrors.insert(aErrors.end(), aFaults.begin(), aFaults.end());
   std::uint64_t& rejected = mRejected[aDocument.mKey];
   rejected = std::max(rejected, aDocument.mRevision);
 }
@@ -195,7 +194,7 @@
   return keys;
 }
 
-void DocumentStore::put(const Document& aDocument, DocumentValue aValue, Configuration& aNext)
+void DocumentStore::keep(const Document& aDocument)
 {
   const std::string& key = aDocument.mKey;
   Document& accepted = mAccepted[key];
@@ -206,8 +205,12 @@
   if (rejected != mRejected.end() && rejected->second <= aDocument.mRevision) {
     mRejected.erase(rejected);
   }
+}
+
+void DocumentStore::apply(const std::string& aKey, DocumentValue aValue, Configuration& aNext)
+{
   if (auto* service = std::get_if<Service>(&aValue)) {
-    aNext.mServices.insert_or_assign(serviceName(key), std::move(*service));
+    aNext.mServices.insert_or_assign(serviceName(aKey), std::move(*service));
   } else if (auto* zones = std::get_if<std::vector<AvailabilityZone>>(&aValue)) {
     aNext.mZones.clear();
     for (const AvailabilityZone& zone : *zones) {
@@ -216,7 +219,7 @@
   } else if (auto* workspaces = std::get_if<std::vector<Workspace>>(&aValue)) {
     aNext.mWorkspaces = std::move(*workspaces);
   } else {
-    remove(key, aNext);
+    remove(aKey, aNext);
   }
 }
 
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -53,18 +53,23 @@
   ConfigurationPtr configuration() const { return mConfiguration; }
 
 private:
-  bool isNew(const Document& aDocument) const;
-  bool accept(const Document& aDocument, std::vector<ConfigError>& aErrors, Configuration& aNext);
-  bool retryConflicting(Configuration& aNext);
-  void noteRejected(const Document& aDocument);
-  void put(const Document& aDocument, DocumentValue aValue, Configuration& aNext);
+  Configuration& editable(std::shared_ptr<Configuration>& aNext) const;
+  bool accept(const Document& aDocument,
+              std::shared_ptr<Configuration>& aNext,
+              std::vector<ConfigError>& aErrors);
+  void reject(const Document& aDocument,
+              const std::vector<ConfigError>& aFaults,
+              std::vector<ConfigError>& aErrors);
+  bool retryConflicting(std::shared_ptr<Configuration>& aNext);
+  void keep(const Document& aDocument);
+  static void apply(const std::string& aKey, DocumentValue aValue, Configuration& aNext);
   static void remove(const std::string& aKey, Configuration& aNext);
 
   std::uint64_t mRevision = 0;
   std::map<std::string, Document> mAccepted;
-  std::map<std::string, std::uint64_t> mRejected; ///< revisions of the newest rejected documents
-  std::map<std::string, Document> mConflicting;   ///< newest documents that crossCheck() rejected
-  EndpointIndex mEndpoints;                       ///< of the accepted services
+  std::map<std::string, std::uint64_t> mRejected;
+  std::map<std::string, Document> mConflicting; ///< newest documents that crossCheck() rejected
+  EndpointIndex mEndpoints;                     ///< of the accepted services
   std::set<std::pair<std::uint64_t, std::string>> mByRevision;
   ConfigurationPtr mConfiguration = std::make_shared<const Configuration>();
 };
--- a/src/membership/control_kind.cpp
+++ b/src/membership/control_kind.cpp
@@ -15,6 +15,16 @@
                                                        : ControlKind::kHeartbeat;
 }
 
+std::optional<ControlKind> kindOf(const wire::Probe&)
+{
+  return ControlKind::kProbe;
+}
+
+std::optional<ControlKind> kindOf(const wire::ProbeReply&)
+{
+  return ControlKind::kProbe;
+}
+
 std::optional<ControlKind> kindOf(const wire::LoadReport&)
 {
   return ControlKind::kLoadReport;
