--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -23,16 +23,22 @@
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAgent)
   , mSocket(aSettings.mListen)
-  , mConfig(aSettings.mConfigService,
-            mLog,
-            [this](config::ConfigurationPtr aConfiguration) {
-              perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
-            })
+  , mMembership(
+      aSettings.mMembership,
+      mLog,
+      mMetrics,
+      [this](flow::Endpoint aTo, flow::Bytes aBytes) {
+        mSocket.queue(aTo, std::move(aBytes));
+        mSocket.flush();
+      },
+      [this](config::ConfigurationPtr aConfiguration) {
+        perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
+      })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mDecisions.revision() > 0; })
+      [this] { return mMembership.mayForward(); })
 {
 }
 
@@ -55,7 +61,7 @@
   });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
-  mConfig.start();
+  mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
@@ -71,6 +77,10 @@
     countDrop("unknown_sender");
     return;
   }
+  if (!mMembership.mayForward()) {
+    countDrop("unconfirmed");
+    return;
+  }
   perform(mDecisions.onUpstreamPacket(net::MainLoop::now(),
                                       flow::Bytes(aDatagram.begin(), aDatagram.end())));
 }
@@ -83,12 +93,17 @@
     return;
   }
   auto& frame = std::get<wire::Frame>(decoded);
+  mMembership.onFrame(aFrom, frame, aDatagram.size());
   mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
   if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
     SendMessage reply{ aFrom, wire::ProbeReply{ probe->mNonce } };
     perform(reply);
   }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
+    if (!mMembership.mayForward()) {
+      countDrop("unconfirmed");
+      return;
+    }
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
   }
 }
@@ -112,7 +127,12 @@
 
 void Shell::perform(SendMessage& aAction)
 {
-  mSocket.queue(aAction.mTo, wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+  if (std::holds_alternative<wire::Forward>(aAction.mMessage)) {
+    mSocket.queue(aAction.mTo,
+                  wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+    return;
+  }
+  mMembership.send(aAction.mTo, aAction.mMessage);
 }
 
 void Shell::perform(const DropPacket& aAction)
@@ -148,7 +168,8 @@
            { "flows", mDecisions.flows().size() },
            { "suspected_agents", mDecisions.peers().suspects() },
            { "busy", admission.busy() },
-           { "limit", admission.limit() } };
+           { "limit", admission.limit() },
+           { "membership", mMembership.status() } };
 }
 
 } // namespace cornelcross::agent
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -15,16 +15,22 @@
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAdvertise, aSettings.mCacheCapacity)
   , mSocket(aSettings.mListen)
-  , mConfig(aSettings.mConfigService,
-            mLog,
-            [this](config::ConfigurationPtr aConfiguration) {
-              mDecisions.apply(std::move(aConfiguration));
-            })
+  , mMembership(
+      aSettings.mMembership,
+      mLog,
+      mMetrics,
+      [this](flow::Endpoint aTo, flow::Bytes aBytes) {
+        mSocket.queue(aTo, std::move(aBytes));
+        mSocket.flush();
+      },
+      [this](config::ConfigurationPtr aConfiguration) {
+        mDecisions.apply(std::move(aConfiguration));
+      })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mDecisions.revision() > 0; })
+      [this] { return mMembership.mayForward(); })
   , mPath(mDecisions, mSocket, [this](DropReason aReason) { countDrop(toString(aReason)); })
   , mPackets(mMetrics.counter("cornelcross_packets_received_total", "IP packets from the fabric"))
   , mProbes(mMetrics.counter("cornelcross_probes_total", "Probes sent to peers"))
@@ -43,7 +49,7 @@
   });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
-  mConfig.start();
+  mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
@@ -52,6 +58,8 @@
 {
   if (wire::isFrame(aDatagram)) {
     onFrame(aDatagram, aFrom);
+  } else if (!mMembership.mayForward()) {
+    countDrop("unconfirmed");
   } else {
     mPath.handle(net::MainLoop::now(), aDatagram);
     mPackets.Increment();
@@ -66,13 +74,13 @@
     return;
   }
   const auto& frame = std::get<wire::Frame>(decoded);
+  mMembership.onFrame(aFrom, frame, aDatagram.size());
   mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
   if (const auto* notice = std::get_if<wire::OwnerNotice>(&frame.mMessage)) {
     mDecisions.learn(net::MainLoop::now(), *notice);
   }
   if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
-    mSocket.queue(aFrom,
-                  wire::encode({ mDecisions.revision(), wire::ProbeReply{ probe->mNonce } }));
+    mMembership.send(aFrom, wire::ProbeReply{ probe->mNonce });
   }
 }
 
@@ -80,9 +88,8 @@
 {
   for (const flow::Endpoint peer : mDecisions.peers().takeProbes(net::MainLoop::now())) {
     mProbes.Increment();
-    mSocket.queue(peer, wire::encode({ mDecisions.revision(), wire::Probe{ ++mNonce } }));
+    mMembership.send(peer, wire::Probe{ ++mNonce });
   }
-  mSocket.flush();
 }
 
 void Shell::countDrop(std::string_view aReason)
@@ -99,7 +106,8 @@
   return { { "name", mSettings.mName },
            { "role", "balancer" },
            { "revision", mDecisions.revision() },
-           { "suspected_agents", mDecisions.peers().suspects() } };
+           { "suspected_agents", mDecisions.peers().suspects() },
+           { "membership", mMembership.status() } };
 }
 
 } // namespace cornelcross::balancer
