Merge the logs of all processes into one time line

Cause: what happened in a deployment could only be read log by log, each by its own clock. Ruled out: sorting by the logged time, which shows effects before causes once a clock is off; moving every clock to the middle of its bounds, which shifts clocks that are right by half the asymmetry of their delays. Change: cornelcross-timeline finds causal pairs by fields, solves the difference constraints that they give, corrects only clocks that contradict a pair, filters, and prints text or one SVG picture. Agents log which upstream they serve and in which zone (upstream_assigned).

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -39,7 +39,7 @@
     return {};
   }
   mConfiguration = std::move(aConfiguration);
-  mUpstream.reset();
+  const auto before = std::exchange(mUpstream, std::nullopt);
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
       if (upstream.mAgent == mSettings.mSelf) {
@@ -50,7 +50,19 @@
       }
     }
   }
-  return {};
+  return before == mUpstream ? Actions{} : Actions{ assignment() };
+}
+
+telemetry::Event Decisions::assignment() const
+{
+  if (!mUpstream) {
+    return { telemetry::EventKind::kUpstreamAssigned, { { "upstream", "none" } } };
+  }
+  return { telemetry::EventKind::kUpstreamAssigned,
+           { { "upstream", mUpstream->mName },
+             { "service", mServiceAddress.toString() },
+             { "zone", mUpstream->mZone },
+             { "state", std::string(toString(mUpstream->mState)) } } };
 }
 
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -60,6 +60,7 @@
                          const flow::FlowKey& aFlow,
                          const FlowRecord& aRecord,
                          const std::string& aReason);
+  telemetry::Event assignment() const;
   bool isExpired(base::Time aNow, const FlowRecord& aRecord) const;
 
   AgentSettings mSettings;
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -17,6 +17,8 @@
       return "config_rejected";
     case EventKind::kConfigUnavailable:
       return "config_unavailable";
+    case EventKind::kUpstreamAssigned:
+      return "upstream_assigned";
     case EventKind::kFlowOpened:
       return "flow_opened";
     case EventKind::kFlowClosed:
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -16,6 +16,7 @@
   kConfigApplied,
   kConfigRejected,
   kConfigUnavailable,
+  kUpstreamAssigned,
   kFlowOpened,
   kFlowClosed,
   kFlowRefused,
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -9,8 +9,6 @@
 
 namespace cornelcross::telemetry {
 
-namespace {
-
 std::string quote(const std::string& aValue)
 {
   if (!aValue.empty() && aValue.find_first_of(" \"=\\\n\t") == std::string::npos) {
@@ -26,8 +24,6 @@
   return quoted + '"';
 }
 
-} // namespace
-
 EventLog::EventLog(std::string aProcess) : mProcess(std::move(aProcess))
 {
   el::Configurations configuration;
--- a/src/telemetry/event_log.hpp
+++ b/src/telemetry/event_log.hpp
@@ -4,6 +4,9 @@
 
 namespace cornelcross::telemetry {
 
+/// @brief Value of a field as a log line holds it: quoted if it has spaces, quotes or '='.
+std::string quote(const std::string& aValue);
+
 /// @brief Writes events to standard output, one line of key=value pairs each:
 /// wall clock (us since the epoch), process, event, then the event's fields.
 class EventLog
--- /dev/null
+++ b/src/tools/timeline/main.cpp
@@ -0,0 +1,160 @@
+#include "base/settings.hpp"
+#include "tools/timeline/filter.hpp"
+#include "tools/timeline/svg_view.hpp"
+#include "tools/timeline/text_view.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+
+DEFINE_string(flow, "", "show only these flows: comma-separated CALLER>SERVICE or CALLER");
+DEFINE_string(upstream, "", "show only events of these upstreams, comma-separated");
+DEFINE_string(zone, "", "show only events of these availability zones, comma-separated");
+DEFINE_string(kind, "", "show only these kinds of events, comma-separated");
+DEFINE_string(process, "", "show only these processes, comma-separated");
+DEFINE_double(from, 0, "show events from this second after the first one on");
+DEFINE_double(to, -1, "show events up to this second after the first one; to the end if below 0");
+DEFINE_string(offset, "", "microseconds that clocks are ahead: PROCESS=US, comma-separated");
+DEFINE_string(svg, "", "write one picture to this file in place of text");
+
+namespace {
+
+using namespace cornelcross;
+using namespace cornelcross::tools::timeline;
+
+const std::string kUsage =
+  "Merges the logs of all processes into one time line.\n"
+  "Usage: cornelcross-timeline [FLAG...] FILE...   (\"-\" is standard input)\n"
+  "Exit codes: 0 done, 1 a file cannot be read or written, 2 bad usage.";
+
+std::set<std::string> splitList(const std::string& aText)
+{
+  std::set<std::string> items;
+  std::istringstream stream(aText);
+  for (std::string item; std::getline(stream, item, ',');) {
+    items.insert(item);
+  }
+  return items;
+}
+
+std::map<std::string, std::int64_t> parseOffsets(base::SettingsCheck& aCheck)
+{
+  std::map<std::string, std::int64_t> offsets;
+  for (const std::string& item : splitList(FLAGS_offset)) {
+    const auto equals = item.rfind('=');
+    const char* end = item.data() + item.size();
+    const char* digits = equals == std::string::npos ? end : item.data() + equals + 1;
+    std::int64_t value = 0;
+    const auto parsed = std::from_chars(digits, end, value);
+    const bool isValid =
+      equals != 0 && digits != end && parsed.ec == std::errc{} && parsed.ptr == end;
+    aCheck.require(isValid, "--offset: expected PROCESS=MICROSECONDS, found \"" + item + "\"");
+    if (isValid) {
+      offsets[item.substr(0, equals)] = value;
+    }
+  }
+  return offsets;
+}
+
+/// Appends the events of a stream; returns the number of lines that are none.
+std::size_t readEvents(std::istream& aStream, std::vector<LogEvent>& aEvents)
+{
+  std::size_t skipped = 0;
+  for (std::string line; std::getline(aStream, line);) {
+    if (auto event = LogEvent::parse(line)) {
+      aEvents.push_back(std::move(*event));
+    } else if (!line.empty()) {
+      ++skipped;
+    }
+  }
+  return skipped;
+}
+
+bool readFiles(const std::vector<std::string>& aFiles, std::vector<LogEvent>& aEvents)
+{
+  bool complete = true;
+  for (const std::string& name : aFiles) {
+    std::ifstream file(name);
+    if (name != "-" && !file) {
+      std::cerr << "error: " << name << ": cannot be read\n";
+      complete = false;
+      continue;
+    }
+    const std::size_t skipped = readEvents(name == "-" ? std::cin : file, aEvents);
+    if (skipped > 0) {
+      std::cerr << "warning: " << name << ": " << skipped << " lines are no events\n";
+    }
+  }
+  return complete;
+}
+
+std::int64_t toMicroseconds(double aSeconds)
+{
+  constexpr double kMicroseconds = 1e6;
+  return std::llround(aSeconds * kMicroseconds);
+}
+
+Filter makeFilter(std::int64_t aStart)
+{
+  Filter filter{ splitList(FLAGS_flow), splitList(FLAGS_upstream), splitList(FLAGS_zone),
+                 splitList(FLAGS_kind), splitList(FLAGS_process),  std::nullopt,
+                 std::nullopt };
+  if (FLAGS_from > 0) {
+    filter.mFrom = aStart + toMicroseconds(FLAGS_from);
+  }
+  if (FLAGS_to >= 0) {
+    filter.mTo = aStart + toMicroseconds(FLAGS_to);
+  }
+  return filter;
+}
+
+bool writeSvg(const std::vector<LogEvent>& aEvents)
+{
+  std::ofstream file(FLAGS_svg);
+  file << toSvg(aEvents);
+  file.close();
+  if (!file) {
+    std::cerr << "error: " << FLAGS_svg << ": cannot be written\n";
+  }
+  return static_cast<bool>(file);
+}
+
+void writeText(const ClockOffsets& aOffsets,
+               const std::vector<LogEvent>& aEvents,
+               std::int64_t aStart)
+{
+  std::cout << offsetsToText(aOffsets);
+  for (const LogEvent& event : aEvents) {
+    std::cout << toText(event, aStart) << '\n';
+  }
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  base::SettingsCheck check(base::parseSettings(&aArgc, &aArgv, kUsage));
+  const auto given = parseOffsets(check);
+  check.require(aArgc > 1, "expected at least one file");
+  check.require(FLAGS_to < 0 || FLAGS_to >= FLAGS_from,
+                "--to: expected a value of at least --from");
+  if (check.report()) {
+    return base::kExitInvalidSettings;
+  }
+  std::vector<LogEvent> events;
+  if (!readFiles({ aArgv + 1, aArgv + aArgc }, events)) {
+    return 1;
+  }
+  const ClockOffsets offsets = estimateOffsets(events, findCausalPairs(events), given);
+  const std::vector<LogEvent> ordered = correctTimes(std::move(events), offsets);
+  const std::int64_t start = ordered.empty() ? 0 : ordered.front().mTime;
+  const std::vector<LogEvent> shown = applyFilter(ordered, makeFilter(start));
+  if (!FLAGS_svg.empty()) {
+    return writeSvg(shown) ? 0 : 1;
+  }
+  writeText(offsets, shown, start);
+  return 0;
+}
