Report every setting's error at once and drain a stopping balancer

Ruled out: gflags' own parser, which ends the process at the first error and offers no hook; it keeps definitions, types and conversion, only the loop over arguments is ours. Ruled out: one more endpoint for draining; operators' health checks already read /healthz. Conclusion: exit code 2 and one line for each error.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -4,23 +4,39 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(listen, "", "ADDRESS:PORT to receive on");
-DEFINE_string(advertise,
+DEFINE_string(listen, "", "[Addresses] ADDRESS:PORT to receive on");
+DEFINE_string(
+  advertise,
+  "",
+  "[Addresses] ADDRESS:PORT of this agent as the configuration lists it; --listen if empty");
+DEFINE_string(admin, "", "[Addresses] ADDRESS:PORT for /metrics, /status and /healthz");
+DEFINE_string(config_service, "", "[Addresses] ADDRESS:PORT of the configuration service");
+DEFINE_string(fabric,
               "",
-              "ADDRESS:PORT of this agent as the configuration lists it; --listen if empty");
-DEFINE_string(admin, "", "ADDRESS:PORT for /metrics, /status and /healthz");
-DEFINE_string(config_service, "", "ADDRESS:PORT of the configuration service");
-DEFINE_string(fabric, "", "ADDRESS:PORT to which IP packets for callers are sent in UDP");
-DEFINE_string(name, "agent", "name of this process in logs");
-DEFINE_uint32(max_flows, 2000, "connections that the upstream holds at most");
-DEFINE_uint32(max_segment, 1380, "bytes; upper bound for the MSS option of both sides");
-DEFINE_bool(log_flows, false, "log an event for each flow that opens or closes");
+              "[Addresses] ADDRESS:PORT to which IP packets for callers are sent in UDP");
+DEFINE_string(name, "agent", "[Logs] name of this process in logs");
+DEFINE_uint32(max_flows, 2000, "[Limits] connections that the upstream holds at most");
+DEFINE_uint32(max_segment, 1380, "[Limits] bytes; upper bound for the MSS option of both sides");
+DEFINE_bool(log_flows, false, "[Logs] log an event for each flow that opens or closes");
+
+namespace {
+
+constexpr std::uint32_t kMaxFlows = 16777216;
+constexpr std::uint32_t kMinSegment = 536;  // bytes; RFC 9293, section 3.7.1
+constexpr std::uint32_t kMaxSegment = 9000; // bytes; jumbo frames
+
+const std::string kUsage = "Owns the flows of the upstream beside it.\n"
+                           "Usage: cornelcross-agent FLAG...\n"
+                           "Exit codes: 0 stopped by SIGTERM, 1 a socket cannot be opened, "
+                           "2 invalid settings.";
+
+} // namespace
 
 int main(int aArgc, char** aArgv)
 {
   using namespace cornelcross;
-  base::SettingsCheck check(
-    base::parseSettings(&aArgc, &aArgv, "Owns the flows of the upstream beside it."));
+  base::SettingsCheck check(base::parseSettings(&aArgc, &aArgv, kUsage));
+  check.noArguments(aArgc, aArgv);
   agent::ShellSettings settings;
   settings.mListen = check.endpoint("listen", FLAGS_listen);
   settings.mAgent.mSelf =
@@ -32,8 +48,13 @@
   settings.mFabric = check.endpoint("fabric", FLAGS_fabric);
   settings.mName = FLAGS_name;
   settings.mLogFlows = FLAGS_log_flows;
-  check.range("max_flows", FLAGS_max_flows, 1, 16777216);
-  check.range("max_segment", FLAGS_max_segment, 536, 9000);
+  check.range("max_flows", FLAGS_max_flows, 1, kMaxFlows);
+  check.range("max_segment", FLAGS_max_segment, kMinSegment, kMaxSegment);
+  check.reachable("advertise", settings.mAgent.mSelf);
+  check.distinct({ { "listen", settings.mListen },
+                   { "admin", settings.mAdmin },
+                   { "config_service", settings.mConfigService },
+                   { "fabric", settings.mFabric } });
   check.require(!FLAGS_name.empty(), "--name: expected a non-empty name");
   if (check.report()) {
     return base::kExitInvalidSettings;
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -31,7 +31,7 @@
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mDecisions.revision() > 0; })
+      [this] { return mDecisions.revision() > 0 ? net::Health::kReady : net::Health::kStarting; })
 {
 }
 
--- a/src/balancer/main.cpp
+++ b/src/balancer/main.cpp
@@ -4,18 +4,38 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(listen, "", "ADDRESS:PORT for IP packets in UDP from the fabric and for agents");
-DEFINE_string(advertise, "", "ADDRESS:PORT at which others reach this process; --listen if empty");
-DEFINE_string(admin, "", "ADDRESS:PORT for /metrics, /status and /healthz");
-DEFINE_string(config_service, "", "ADDRESS:PORT of the configuration service");
-DEFINE_string(name, "balancer", "name of this process in logs");
-DEFINE_uint32(owner_cache, 131072, "flows per generation whose owner is remembered");
+DEFINE_string(listen,
+              "",
+              "[Addresses] ADDRESS:PORT for IP packets in UDP from the fabric and for agents");
+DEFINE_string(advertise,
+              "",
+              "[Addresses] ADDRESS:PORT at which others reach this process; --listen if empty");
+DEFINE_string(admin, "", "[Addresses] ADDRESS:PORT for /metrics, /status and /healthz");
+DEFINE_string(config_service, "", "[Addresses] ADDRESS:PORT of the configuration service");
+DEFINE_string(name, "balancer", "[Logs] name of this process in logs");
+DEFINE_uint32(owner_cache, 131072, "[Limits] flows per generation whose owner is remembered");
+DEFINE_uint32(drain_seconds,
+              10,
+              "[Stopping] seconds after SIGTERM during which packets are still forwarded and "
+              "/healthz answers 503; a second SIGTERM ends them");
+
+namespace {
+
+constexpr std::uint32_t kMaxOwnerCache = 16777216;
+constexpr std::uint32_t kMaxDrainSeconds = 86400;
+
+const std::string kUsage = "Hands each packet of a caller to the agents that may own its flow.\n"
+                           "Usage: cornelcross-balancer FLAG...\n"
+                           "Exit codes: 0 stopped by SIGTERM, 1 a socket cannot be opened, "
+                           "2 invalid settings.";
+
+} // namespace
 
 int main(int aArgc, char** aArgv)
 {
   using namespace cornelcross;
-  base::SettingsCheck check(
-    base::parseSettings(&aArgc, &aArgv, "Hands packets of callers to agents."));
+  base::SettingsCheck check(base::parseSettings(&aArgc, &aArgv, kUsage));
+  check.noArguments(aArgc, aArgv);
   balancer::BalancerSettings settings;
   settings.mListen = check.endpoint("listen", FLAGS_listen);
   settings.mAdvertise =
@@ -24,7 +44,13 @@
   settings.mConfigService = check.endpoint("config_service", FLAGS_config_service);
   settings.mName = FLAGS_name;
   settings.mCacheCapacity = FLAGS_owner_cache;
-  check.range("owner_cache", FLAGS_owner_cache, 1, 16777216);
+  settings.mDrainSeconds = FLAGS_drain_seconds;
+  check.range("owner_cache", FLAGS_owner_cache, 1, kMaxOwnerCache);
+  check.range("drain_seconds", FLAGS_drain_seconds, 0, kMaxDrainSeconds);
+  check.reachable("advertise", settings.mAdvertise);
+  check.distinct({ { "listen", settings.mListen },
+                   { "admin", settings.mAdmin },
+                   { "config_service", settings.mConfigService } });
   check.require(!FLAGS_name.empty(), "--name: expected a non-empty name");
   if (check.report()) {
     return base::kExitInvalidSettings;
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -18,7 +18,7 @@
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mDecisions.revision() > 0; })
+      [this] { return health(); })
   , mPath(mDecisions, mSocket, [this](DropReason aReason) { countDrop(toString(aReason)); })
   , mPackets(mMetrics.counter("cornelcross_packets_received_total", "IP packets from the fabric"))
 {
@@ -28,10 +28,7 @@
 {
   mSocket.onDatagram(
     [this](std::span<const std::byte> aDatagram, flow::Endpoint) { onDatagram(aDatagram); });
-  mLoop.onTerminate([this] {
-    mLog.write({ telemetry::EventKind::kProcessStopping, {} });
-    mLoop.quit();
-  });
+  mLoop.onTerminate([this] { onTerminate(); });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
   mConfig.start();
@@ -71,6 +68,28 @@
     .Increment();
 }
 
+net::Health Shell::health() const
+{
+  if (mIsStopping) {
+    return net::Health::kStopping;
+  }
+  return mDecisions.revision() > 0 ? net::Health::kReady : net::Health::kStarting;
+}
+
+// The fabric learns only by its health checks that this balancer stops, and sends it packets of
+// established flows until then: a balancer that ended at once would lose them.
+void Shell::onTerminate()
+{
+  if (mIsStopping) {
+    mLoop.quit();
+    return;
+  }
+  mIsStopping = true;
+  mLog.write({ telemetry::EventKind::kProcessStopping,
+               { { "drain_seconds", std::to_string(mSettings.mDrainSeconds) } } });
+  mLoop.after(std::chrono::seconds(mSettings.mDrainSeconds), [this] { mLoop.quit(); });
+}
+
 nlohmann::json Shell::status() const
 {
   return { { "name", mSettings.mName },
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -13,12 +13,13 @@
 /// @brief Settings of a balancer process.
 struct BalancerSettings
 {
-  flow::Endpoint mListen;         ///< IP in UDP from the fabric, messages from agents
-  flow::Endpoint mAdvertise;      ///< where agents reach this balancer
-  flow::Endpoint mAdmin;          ///< HTTP for metrics, status and health
-  flow::Endpoint mConfigService;  ///< configuration service
-  std::size_t mCacheCapacity = 0; ///< flows per generation of the owner cache
-  std::string mName;              ///< name in logs
+  flow::Endpoint mListen;          ///< IP in UDP from the fabric, messages from agents
+  flow::Endpoint mAdvertise;       ///< where agents reach this balancer
+  flow::Endpoint mAdmin;           ///< HTTP for metrics, status and health
+  flow::Endpoint mConfigService;   ///< configuration service
+  std::size_t mCacheCapacity = 0;  ///< flows per generation of the owner cache
+  std::string mName;               ///< name in logs
+  std::uint32_t mDrainSeconds = 0; ///< how long a stopping balancer goes on forwarding
 
   auto operator<=>(const BalancerSettings&) const = default;
 };
@@ -29,7 +30,7 @@
 public:
   explicit Shell(const BalancerSettings& aSettings);
 
-  /// @brief Runs until SIGTERM.
+  /// @brief Runs until SIGTERM and for the drain time after it, or until a second SIGTERM.
   void run();
 
 private:
@@ -37,6 +38,8 @@
   void onFrame(std::span<const std::byte> aDatagram);
   void countDrop(std::string_view aReason);
   nlohmann::json status() const;
+  net::Health health() const;
+  void onTerminate();
 
   BalancerSettings mSettings;
   net::MainLoop mLoop;
@@ -48,6 +51,7 @@
   net::AdminServer mAdmin;
   PacketPath mPath;
   prometheus::Counter& mPackets;
+  bool mIsStopping = false;
 };
 
 } // namespace cornelcross::balancer
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,46 +1,31 @@
 #include "base/settings.hpp"
 
-#include <algorithm>
-#include <cctype>
+#include "base/flag_parser.hpp"
+
 #include <cstdlib>
-#include <gflags/gflags.h>
 #include <iostream>
 
 namespace cornelcross::base {
 
-namespace {
-
-std::string environmentName(const std::string& aFlag)
-{
-  std::string name = "CORNELCROSS_" + aFlag;
-  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aCharacter) {
-    return static_cast<char>(std::toupper(aCharacter));
-  });
-  return name;
-}
-
-} // namespace
-
 std::vector<std::string> parseSettings(int* aArgc, char*** aArgv, const std::string& aUsage)
 {
-  gflags::SetUsageMessage(aUsage);
-  gflags::SetVersionString(CORNELCROSS_VERSION);
-  gflags::ParseCommandLineFlags(aArgc, aArgv, true);
-  std::vector<gflags::CommandLineFlagInfo> flags;
-  gflags::GetAllFlags(&flags);
-  std::vector<std::string> errors;
-  for (const auto& flag : flags) {
-    const std::string name = environmentName(flag.name);
-    const char* value = std::getenv(name.c_str());
-    if (value == nullptr || !flag.is_default) {
-      continue;
-    }
-    if (gflags::SetCommandLineOption(flag.name.c_str(), value).empty()) {
-      errors.push_back(name + ": invalid value \"" + value + "\" for a setting of type " +
-                       flag.type);
-    }
+  ParsedFlags parsed = parseFlags({ *aArgv + 1, *aArgv + *aArgc });
+  if (parsed.mWantsHelp) {
+    std::cout << describeFlags(aUsage);
+    std::exit(0);
+  }
+  if (parsed.mWantsVersion) {
+    std::cout << "cornelcross " << CORNELCROSS_VERSION << '\n';
+    std::exit(0);
   }
-  return errors;
+  // The arguments that are left stay alive for as long as the process.
+  static std::vector<std::string> arguments;
+  arguments = std::move(parsed.mArguments);
+  *aArgc = 1;
+  for (std::string& argument : arguments) {
+    (*aArgv)[(*aArgc)++] = argument.data();
+  }
+  return parsed.mErrors;
 }
 
 flow::Endpoint SettingsCheck::endpoint(const std::string& aFlag, const std::string& aValue)
@@ -60,6 +45,31 @@
             ", found " + std::to_string(aValue));
 }
 
+void SettingsCheck::distinct(const std::vector<std::pair<std::string, flow::Endpoint>>& aSettings)
+{
+  for (std::size_t i = 0; i < aSettings.size(); ++i) {
+    for (std::size_t j = i + 1; j < aSettings.size(); ++j) {
+      const bool isEqual = aSettings[i].second == aSettings[j].second;
+      require(!isEqual || aSettings[i].second == flow::Endpoint{},
+              "--" + aSettings[j].first + ": expected another endpoint than --" +
+                aSettings[i].first);
+    }
+  }
+}
+
+void SettingsCheck::reachable(const std::string& aFlag, flow::Endpoint aEndpoint)
+{
+  require(aEndpoint.mPort == 0 || aEndpoint.mAddress.mValue != 0,
+          "--" + aFlag + ": expected an address at which others reach this process");
+}
+
+void SettingsCheck::noArguments(int aArgc, char** aArgv)
+{
+  for (int i = 1; i < aArgc; ++i) {
+    require(false, std::string("unexpected argument \"") + aArgv[i] + "\"");
+  }
+}
+
 void SettingsCheck::require(bool aHolds, const std::string& aError)
 {
   if (!aHolds) {
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cornelcross::base {
@@ -12,7 +13,8 @@
 inline constexpr int kExitInvalidSettings = 2;
 
 /// @brief Parses flags, then takes every flag that the command line left out from the environment
-/// variable CORNELCROSS_<FLAG IN CAPITALS>. @return errors found in the environment
+/// variable CORNELCROSS_<FLAG IN CAPITALS>. Answers --help and --version and ends the process.
+/// What is no flag stays in aArgv. @return every unknown flag and unparsable value
 std::vector<std::string> parseSettings(int* aArgc, char*** aArgv, const std::string& aUsage);
 
 /// @brief Collects the errors of all settings, so that they are shown at once.
@@ -28,6 +30,15 @@
   /// @brief Integer setting between aMin and aMax.
   void range(const std::string& aFlag, std::int64_t aValue, std::int64_t aMin, std::int64_t aMax);
 
+  /// @brief Endpoints that must differ from each other.
+  void distinct(const std::vector<std::pair<std::string, flow::Endpoint>>& aSettings);
+
+  /// @brief An endpoint that is told to other processes: no wildcard address.
+  void reachable(const std::string& aFlag, flow::Endpoint aEndpoint);
+
+  /// @brief No argument besides flags.
+  void noArguments(int aArgc, char** aArgv);
+
   /// @brief Any other condition that must hold.
   void require(bool aHolds, const std::string& aError);
 
--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -2,10 +2,27 @@
 
 namespace cornelcross::net {
 
+namespace {
+
+HttpResponse toResponse(Health aHealth)
+{
+  switch (aHealth) {
+    case Health::kReady:
+      return { SOUP_STATUS_OK, "text/plain", "ok\n" };
+    case Health::kStarting:
+      return { SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain", "no configuration\n" };
+    case Health::kStopping:
+      return { SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain", "stopping\n" };
+  }
+  return { SOUP_STATUS_INTERNAL_SERVER_ERROR, "text/plain", "unknown\n" };
+}
+
+} // namespace
+
 AdminServer::AdminServer(flow::Endpoint aLocal,
                          const telemetry::Metrics& aMetrics,
                          std::function<nlohmann::json()> aStatus,
-                         std::function<bool()> aIsReady)
+                         std::function<Health()> aHealth)
   : mServer(aLocal)
 {
   mServer.handle("/metrics", [&aMetrics] {
@@ -14,11 +31,7 @@
   mServer.handle("/status", [status = std::move(aStatus)] {
     return HttpResponse{ SOUP_STATUS_OK, "application/json", status().dump(2) + "\n" };
   });
-  mServer.handle("/healthz", [isReady = std::move(aIsReady)] {
-    return isReady()
-             ? HttpResponse{ SOUP_STATUS_OK, "text/plain", "ok\n" }
-             : HttpResponse{ SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain", "no configuration\n" };
-  });
+  mServer.handle("/healthz", [health = std::move(aHealth)] { return toResponse(health()); });
 }
 
 } // namespace cornelcross::net
--- a/src/net/admin_server.hpp
+++ b/src/net/admin_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/health.hpp"
 #include "net/http_server.hpp"
 #include "telemetry/metrics.hpp"
 
@@ -14,11 +15,11 @@
   /// @param aLocal   endpoint to listen on
   /// @param aMetrics metrics to expose
   /// @param aStatus  makes the document for /status
-  /// @param aIsReady tells whether /healthz answers 200 or 503
+  /// @param aHealth  tells what /healthz answers
   AdminServer(flow::Endpoint aLocal,
               const telemetry::Metrics& aMetrics,
               std::function<nlohmann::json()> aStatus,
-              std::function<bool()> aIsReady);
+              std::function<Health()> aHealth);
 
 private:
   HttpServer mServer;
--- a/src/tools/check/main.cpp
+++ b/src/tools/check/main.cpp
@@ -5,8 +5,10 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(key, "", "key of the only document in each file; if empty, a file is {KEY: VALUE}");
-DEFINE_uint32(sample, 16384, "flows a service that are ranked to measure the shares");
+DEFINE_string(key,
+              "",
+              "[Input] key of the only document in each file; if empty, a file is {KEY: VALUE}");
+DEFINE_uint32(sample, 16384, "[Preview] flows a service that are ranked to measure the shares");
 
 namespace {
 
--- a/src/tools/timeline/main.cpp
+++ b/src/tools/timeline/main.cpp
@@ -10,15 +10,19 @@
 #include <iostream>
 #include <sstream>
 
-DEFINE_string(flow, "", "show only these flows: comma-separated CALLER>SERVICE or CALLER");
-DEFINE_string(upstream, "", "show only events of these upstreams, comma-separated");
-DEFINE_string(zone, "", "show only events of these availability zones, comma-separated");
-DEFINE_string(kind, "", "show only these kinds of events, comma-separated");
-DEFINE_string(process, "", "show only these processes, comma-separated");
-DEFINE_double(from, 0, "show events from this second after the first one on");
-DEFINE_double(to, -1, "show events up to this second after the first one; to the end if below 0");
-DEFINE_string(offset, "", "microseconds that clocks are ahead: PROCESS=US, comma-separated");
-DEFINE_string(svg, "", "write one picture to this file in place of text");
+DEFINE_string(flow, "", "[Filter] show only these flows: comma-separated CALLER>SERVICE or CALLER");
+DEFINE_string(upstream, "", "[Filter] show only events of these upstreams, comma-separated");
+DEFINE_string(zone, "", "[Filter] show only events of these availability zones, comma-separated");
+DEFINE_string(kind, "", "[Filter] show only these kinds of events, comma-separated");
+DEFINE_string(process, "", "[Filter] show only these processes, comma-separated");
+DEFINE_double(from, 0, "[Filter] show events from this second after the first one on");
+DEFINE_double(to,
+              -1,
+              "[Filter] show events up to this second after the first one; to the end if below 0");
+DEFINE_string(offset,
+              "",
+              "[Clocks] microseconds that clocks are ahead: PROCESS=US, comma-separated");
+DEFINE_string(svg, "", "[Output] write one picture to this file in place of text");
 
 namespace {
 
