--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -34,8 +34,9 @@
   void run();
 
 private:
-  void onDatagram(std::span<const std::byte> aDatagram);
-  void onFrame(std::span<const std::byte> aDatagram);
+  void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void probePeers();
   void countDrop(std::string_view aReason);
   nlohmann::json status() const;
   net::Health health() const;
@@ -52,6 +53,8 @@
   PacketPath mPath;
   prometheus::Counter& mPackets;
   bool mIsStopping = false;
+  prometheus::Counter& mProbes;
+  std::uint64_t mNonce = 0;
 };
 
 } // namespace cornelcross::balancer
--- a/src/flow/packet_edit.cpp
+++ b/src/flow/packet_edit.cpp
@@ -1,5 +1,6 @@
 #include "flow/packet_edit.hpp"
 
+#include "base/mechanisms.hpp"
 #include "flow/byte_order.hpp"
 
 namespace cornelcross::flow {
@@ -72,7 +73,7 @@
 
 void stripSynPayload(Bytes& aBytes, const TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0) {
+  if (aPacket.mPayloadLength == 0 || !base::mechanisms().mStripSynData) {
     return;
   }
   aBytes.resize(aPacket.mIpHeaderLength + aPacket.mTcpHeaderLength);
@@ -80,6 +81,13 @@
   updateChecksums(aBytes, aPacket.mIpHeaderLength);
 }
 
+void setSequence(Bytes& aBytes, const TcpPacket& aPacket, std::uint32_t aSequence)
+{
+  const std::span<std::byte> bytes(aBytes);
+  write32(bytes, aPacket.mIpHeaderLength + 4U, aSequence);
+  updateChecksums(bytes, aPacket.mIpHeaderLength);
+}
+
 void clampMss(Bytes& aBytes, const TcpPacket& aPacket, std::uint16_t aMaxSegment)
 {
   const std::span<std::byte> bytes(aBytes);
