--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -44,7 +44,7 @@
   }
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
-  mUpstream.reset();
+  const auto before = std::exchange(mUpstream, std::nullopt);
   mChain.configure(mConfiguration, nullptr);
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
@@ -57,7 +57,19 @@
       }
     }
   }
-  return {};
+  return before == mUpstream ? Actions{} : Actions{ assignment() };
+}
+
+telemetry::Event Decisions::assignment() const
+{
+  if (!mUpstream) {
+    return { telemetry::EventKind::kUpstreamAssigned, { { "upstream", "none" } } };
+  }
+  return { telemetry::EventKind::kUpstreamAssigned,
+           { { "upstream", mUpstream->mName },
+             { "service", mServiceAddress.toString() },
+             { "zone", mUpstream->mZone },
+             { "state", std::string(toString(mUpstream->mState)) } } };
 }
 
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
