Run scripted scenarios and check their histories

Cause: what must always hold needs proof under failure, over real processes. Ruled out: a cluster simulator (not wanted); shell scripts (no bounds, no line numbers). Change: a language of one step a line, a runner that keeps its own loopback range and ends its children, a checker that decides from the records.

--- a/tests/fakes/caller/main.cpp
+++ b/tests/fakes/caller/main.cpp
@@ -14,6 +14,7 @@
 DEFINE_uint32(grace_seconds, 60, "seconds that the last sessions may take");
 DEFINE_uint32(deadline_ms, 30000, "milliseconds within which an answer must come");
 DEFINE_uint64(seed, 1, "seed of the random choices");
+DEFINE_bool(syn_data, false, "send the first request of each session in its SYN as well");
 DEFINE_string(name, "caller", "name in records");
 
 int main(int aArgc, char** aArgv)
@@ -34,7 +35,12 @@
     stack.addAddress(source);
   }
   stack.start();
-  fakes::Workload workload({ FLAGS_name, sources, streams, FLAGS_deadline_ms, FLAGS_seed });
+  std::function<void(std::string)> synData;
+  if (FLAGS_syn_data) {
+    synData = [&](std::string aData) { stack.sendInNextSyn(std::move(aData)); };
+  }
+  fakes::Workload workload(
+    { FLAGS_name, sources, streams, FLAGS_deadline_ms, FLAGS_seed, synData });
   fakes::LwipStack::run([&] { workload.start(); });
   std::this_thread::sleep_for(std::chrono::seconds(FLAGS_seconds));
   fakes::LwipStack::run([&] { workload.stop(); });
--- a/tests/fakes/caller/session.cpp
+++ b/tests/fakes/caller/session.cpp
@@ -1,5 +1,6 @@
 #include "fakes/caller/session.hpp"
 
+#include "fakes/common/digest.hpp"
 #include "fakes/common/record.hpp"
 
 namespace cornelcross::fakes {
@@ -22,12 +23,20 @@
   };
   hooks.mOnData = [self = shared_from_this()](const std::string& aData) { self->onData(aData); };
   hooks.mOnEnd = [self = shared_from_this()](TcpEnd aEnd) { self->onEnd(aEnd); };
+  if (mPlan.mSynData) {
+    mPlan.mSynData(requestLine());
+  }
   mConnection = TcpConnection::connect(mPlan.mSource, mPlan.mService, std::move(hooks));
   if (mConnection == nullptr) {
     finish("no_port");
   }
 }
 
+std::string Session::requestLine() const
+{
+  return AppRequest{ mPlan.mKind, requestId(), mPlan.mSize, mPlan.mWorkMs }.toLine();
+}
+
 void Session::sendNext()
 {
   if (mIsOver) {
@@ -35,7 +44,7 @@
   }
   mIsWaiting = true;
   record(mPlan.mName, "request_sent", { { "id", requestId() }, { "kind", mPlan.mKind } });
-  mConnection->write(AppRequest{ mPlan.mKind, requestId(), mPlan.mSize, mPlan.mWorkMs }.toLine());
+  mConnection->write(requestLine());
   watch(mRequest);
 }
 
@@ -83,10 +92,13 @@
   const bool isShed = aAnswer.mStatus == "shed";
   const bool isWhole =
     aAnswer.mId == requestId() && (isShed || aBody == bodyOf(requestId(), mPlan.mSize));
-  record(
-    mPlan.mName,
-    "answer_received",
-    { { "id", requestId() }, { "status", aAnswer.mStatus }, { "whole", isWhole ? "yes" : "no" } });
+  record(mPlan.mName,
+         "answer_received",
+         { { "id", requestId() },
+           { "answer_id", aAnswer.mId },
+           { "status", aAnswer.mStatus },
+           { "digest", digestOf(aBody) },
+           { "whole", isWhole ? "yes" : "no" } });
   if (!isWhole) {
     ++mTally.mIncomplete;
   } else if (isShed) {
--- a/tests/fakes/caller/workload.cpp
+++ b/tests/fakes/caller/workload.cpp
@@ -104,6 +104,7 @@
   plan.mWorkMs = profile.mWorkMs;
   plan.mThinkMs = profile.mThinkMs;
   plan.mDeadlineMs = mSettings.mDeadlineMs;
+  plan.mSynData = mSettings.mSynData;
   return plan;
 }
 
--- a/tests/fakes/caller/workload.hpp
+++ b/tests/fakes/caller/workload.hpp
@@ -31,6 +31,7 @@
   std::vector<LoadStream> mStreams;
   std::uint32_t mDeadlineMs = 0;
   std::uint64_t mSeed = 0;
+  std::function<void(std::string)> mSynData; ///< sends data in the next SYN; empty for none
 };
 
 /// @brief Starts sessions at random times (Poisson arrivals). Runs in lwIP's thread.
--- a/tests/fakes/common/lwip_stack.cpp
+++ b/tests/fakes/common/lwip_stack.cpp
@@ -128,6 +128,9 @@
   flow::Bytes bytes(aBuffer->tot_len);
   pbuf_copy_partial(aBuffer, bytes.data(), aBuffer->tot_len, 0);
   if (const auto packet = flow::TcpPacket::parse(bytes)) {
+    if (packet->opensFlow()) {
+      appendSynData(bytes, *packet);
+    }
     shiftField(bytes, *packet, kSequenceOffset, shiftOf(packet->keyFromCaller()));
   }
   const sockaddr_in to = toSocketAddress(mPeer);
@@ -135,6 +138,29 @@
     mSocket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
 }
 
+void LwipStack::appendSynData(flow::Bytes& aBytes, const flow::TcpPacket& aPacket)
+{
+  if (!mNextSynData.empty()) {
+    mSynData[aPacket.keyFromCaller()] = std::move(mNextSynData);
+    mNextSynData.clear();
+  }
+  const auto data = mSynData.find(aPacket.keyFromCaller());
+  if (data == mSynData.end()) {
+    return;
+  }
+  const auto bytes = std::as_bytes(std::span(data->second));
+  aBytes.insert(aBytes.end(), bytes.begin(), bytes.end());
+  flow::write16(aBytes, 2, static_cast<std::uint16_t>(aBytes.size()));
+}
+
+void LwipStack::observe(const flow::TcpPacket& aPacket, const flow::Bytes& aBytes) const
+{
+  const std::size_t header = aPacket.mIpHeaderLength + aPacket.mTcpHeaderLength;
+  const auto* payload = reinterpret_cast<const char*>(aBytes.data()) + header;
+  const std::string data(payload, aPacket.mPayloadLength);
+  run([&] { mObserver(aPacket, data); });
+}
+
 void LwipStack::receive()
 {
   flow::Bytes buffer(kBufferSize);
@@ -145,6 +171,9 @@
     }
     flow::Bytes bytes(buffer.begin(), buffer.begin() + size);
     const auto packet = flow::TcpPacket::parse(bytes);
+    if (packet && mObserver) {
+      observe(*packet, bytes);
+    }
     if (packet && packet->has(flow::kAck)) {
       shiftField(bytes, *packet, kAcknowledgementOffset, 0U - shiftOf(packet->keyFromUpstream()));
     }
--- a/tests/fakes/common/lwip_stack.hpp
+++ b/tests/fakes/common/lwip_stack.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <lwip/netif.h>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +28,16 @@
   /// @brief Adds an address that the stack answers for.
   void addAddress(flow::Ipv4Address aAddress);
 
+  /// @brief Calls aObserver in lwIP's thread for each TCP segment that arrives, before lwIP sees
+  /// it.
+  void onArrival(std::function<void(const flow::TcpPacket&, std::string)> aObserver)
+  {
+    mObserver = std::move(aObserver);
+  }
+
+  /// @brief Sends aData in the SYN of the next connection and in its retransmissions (RFC 7413).
+  void sendInNextSyn(std::string aData) { mNextSynData = std::move(aData); }
+
   /// @brief Starts receiving; call once all addresses are added.
   void start();
 
@@ -40,6 +51,8 @@
   static err_t output(netif* aNetif, pbuf* aBuffer, const ip4_addr_t* aTo);
   static err_t initialize(netif* aNetif);
   void send(pbuf* aBuffer);
+  void appendSynData(flow::Bytes& aBytes, const flow::TcpPacket& aPacket);
+  void observe(const flow::TcpPacket& aPacket, const flow::Bytes& aBytes) const;
   void receive();
   std::uint32_t shiftOf(const flow::FlowKey& aFlow) const;
 
@@ -47,6 +60,9 @@
   flow::Endpoint mPeer;
   std::uint64_t mSecret;
   std::vector<std::unique_ptr<netif>> mInterfaces;
+  std::function<void(const flow::TcpPacket&, std::string)> mObserver;
+  std::string mNextSynData;
+  std::map<flow::FlowKey, std::string> mSynData;
 };
 
 } // namespace cornelcross::fakes
--- a/tests/fakes/config_service/main.cpp
+++ b/tests/fakes/config_service/main.cpp
@@ -9,6 +9,7 @@
 
 DEFINE_string(listen, "", "ADDRESS:PORT");
 DEFINE_string(documents, "", "JSON file {KEY: VALUE} to publish at the start");
+DEFINE_uint32(readers, 0, "further ports above that of --listen, so that each reader has its own");
 DEFINE_string(name, "config", "name in records");
 
 int main(int aArgc, char** aArgv)
@@ -21,6 +22,9 @@
   }
   net::MainLoop loop;
   fakes::ConfigService service(listen, FLAGS_name);
+  for (std::uint32_t i = 1; i <= FLAGS_readers; ++i) {
+    service.listen({ listen.mAddress, static_cast<std::uint16_t>(listen.mPort + i) });
+  }
   if (!FLAGS_documents.empty()) {
     std::ifstream file(FLAGS_documents);
     const auto documents = nlohmann::json::parse(file, nullptr, false);
--- a/tests/fakes/config_service/service.cpp
+++ b/tests/fakes/config_service/service.cpp
@@ -21,6 +21,14 @@
   return value == nullptr ? "0" : value;
 }
 
+std::string endpointOf(GSocketAddress* aAddress)
+{
+  gchar* text = g_socket_connectable_to_string(G_SOCKET_CONNECTABLE(aAddress));
+  std::string endpoint = text;
+  g_free(text);
+  return endpoint;
+}
+
 std::string requestBody(SoupServerMessage* aMessage)
 {
   GBytes* bytes = soup_message_body_flatten(soup_server_message_get_request_body(aMessage));
@@ -35,6 +43,14 @@
 
 ConfigService::ConfigService(flow::Endpoint aListen, std::string aName)
   : mName(std::move(aName)), mServer(soup_server_new(nullptr, nullptr))
+{
+  listen(aListen);
+  soup_server_add_handler(
+    mServer, kDocumentsPath.data(), &ConfigService::onDocuments, this, nullptr);
+  soup_server_add_handler(mServer, "/control/mode", &ConfigService::onControl, this, nullptr);
+}
+
+void ConfigService::listen(flow::Endpoint aListen)
 {
   GError* error = nullptr;
   GSocketAddress* address =
@@ -45,9 +61,6 @@
   if (!isListening) {
     throw std::runtime_error(error->message);
   }
-  soup_server_add_handler(
-    mServer, kDocumentsPath.data(), &ConfigService::onDocuments, this, nullptr);
-  soup_server_add_handler(mServer, "/control/mode", &ConfigService::onControl, this, nullptr);
 }
 
 ConfigService::~ConfigService()
@@ -96,26 +109,59 @@
                               gpointer aSelf)
 {
   auto* self = static_cast<ConfigService*>(aSelf);
-  self->mMode = requestBody(aMessage);
-  self->mStale = self->mCurrent;
-  record(
-    self->mName, "mode", { { "mode", self->mMode }, { "calls", std::to_string(self->mCalls) } });
-  self->wake();
+  self->setMode(requestBody(aMessage));
   soup_server_message_set_status(aMessage, SOUP_STATUS_OK, nullptr);
 }
 
+void ConfigService::setMode(const std::string& aMode)
+{
+  record(mName, "mode", { { "mode", '"' + aMode + '"' }, { "calls", std::to_string(mCalls) } });
+  const auto space = aMode.find(' ');
+  if (aMode == "forget") {
+    forgetConnections();
+  } else if (space != std::string::npos) {
+    mModes[static_cast<std::uint16_t>(std::stoul(aMode.substr(space + 1)))] =
+      aMode.substr(0, space);
+  } else {
+    mMode = aMode;
+    mModes.clear();
+    mStale = mCurrent;
+  }
+  wake();
+}
+
+void ConfigService::forgetConnections()
+{
+  mForgotten = mConnections;
+  for (Waiter* waiter : mWaiters) {
+    waiter->mAfter = UINT64_MAX;
+    g_source_remove(waiter->mTimer);
+    waiter->mTimer = g_timeout_add_seconds(kSilentSeconds, &ConfigService::onWaitOver, waiter);
+  }
+}
+
+const std::string& ConfigService::modeOf(SoupServerMessage* aMessage) const
+{
+  auto* address = G_INET_SOCKET_ADDRESS(soup_server_message_get_local_address(aMessage));
+  const auto found = mModes.find(g_inet_socket_address_get_port(address));
+  return found == mModes.end() ? mMode : found->second;
+}
+
 void ConfigService::read(SoupServerMessage* aMessage, GHashTable* aQuery)
 {
   ++mCalls;
   const std::uint64_t after = std::stoull(queryValue(aQuery, "after"));
   const auto seconds = static_cast<unsigned>(std::stoul(queryValue(aQuery, "wait")));
-  if (mMode == "down") {
+  const std::string reader = endpointOf(soup_server_message_get_remote_address(aMessage));
+  mConnections.insert(reader);
+  const std::string& mode = modeOf(aMessage);
+  if (mode == "down") {
     soup_server_message_set_status(aMessage, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
-  } else if (mMode == "silent") {
+  } else if (mode == "silent" || mForgotten.count(reader) != 0) {
     wait(aMessage, UINT64_MAX, kSilentSeconds);
-  } else if (mMode == "slow") {
+  } else if (mode == "slow") {
     wait(aMessage, UINT64_MAX, kSlowSeconds);
-  } else if (visible().mRevision > after || seconds == 0) {
+  } else if (visible(aMessage).mRevision > after || seconds == 0) {
     answer(aMessage, after);
   } else {
     wait(aMessage, after, seconds);
@@ -125,7 +171,7 @@
 void ConfigService::answer(SoupServerMessage* aMessage, std::uint64_t aAfter) const
 {
   nlohmann::json documents = nlohmann::json::array();
-  for (const auto& [key, entry] : visible().mEntries) {
+  for (const auto& [key, entry] : visible(aMessage).mEntries) {
     if (entry.mRevision <= aAfter) {
       continue;
     }
@@ -136,8 +182,9 @@
     }
     documents.push_back({ { "key", key }, { "revision", entry.mRevision }, { "value", value } });
   }
-  const std::string body =
-    nlohmann::json{ { "revision", visible().mRevision }, { "documents", documents } }.dump();
+  const std::string body = nlohmann::json{
+    { "revision", visible(aMessage).mRevision }, { "documents", documents }
+  }.dump();
   soup_server_message_set_status(aMessage, SOUP_STATUS_OK, nullptr);
   soup_server_message_set_response(
     aMessage, "application/json", SOUP_MEMORY_COPY, body.data(), body.size());
@@ -186,11 +233,18 @@
 {
   const std::list<Waiter*> waiters = mWaiters;
   for (Waiter* waiter : waiters) {
-    if (waiter->mAfter == UINT64_MAX || visible().mRevision <= waiter->mAfter) {
+    SoupServerMessage* message = waiter->mMessage;
+    const std::string& mode = modeOf(message);
+    if (waiter->mAfter == UINT64_MAX || mode == "silent") {
+      continue;
+    }
+    if (mode == "down") {
+      soup_server_message_set_status(message, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
+    } else if (visible(message).mRevision > waiter->mAfter) {
+      answer(message, waiter->mAfter);
+    } else {
       continue;
     }
-    SoupServerMessage* message = waiter->mMessage;
-    answer(message, waiter->mAfter);
     release(waiter);
     soup_server_message_unpause(message);
   }
--- a/tests/fakes/config_service/service.hpp
+++ b/tests/fakes/config_service/service.hpp
@@ -5,6 +5,7 @@
 #include <libsoup/soup.h>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 
 namespace cornelcross::fakes {
@@ -12,7 +13,8 @@
 /// @brief Fake configuration service. Readers: GET /v1/documents?after=REVISION&wait=SECONDS.
 /// Operators: PUT or DELETE /v1/documents/KEY. Tests: PUT /control/mode with "up", "down" (answers
 /// 503), "silent" (never answers), "slow" (answers a second late) or "stale" (answers as it was
-/// when this mode began).
+/// when this mode began); "MODE PORT" sets the mode of the readers that use one port, and "forget"
+/// leaves every connection of now without an answer while new ones work.
 class ConfigService
 {
 public:
@@ -21,6 +23,9 @@
   ConfigService(const ConfigService&) = delete;
   ConfigService& operator=(const ConfigService&) = delete;
 
+  /// @brief Listens on one more endpoint. @throws std::runtime_error if it can't be bound
+  void listen(flow::Endpoint aListen);
+
   /// @brief Publishes a document under a new revision.
   std::uint64_t publish(const std::string& aKey, const std::string& aValue);
 
@@ -61,13 +66,22 @@
   void read(SoupServerMessage* aMessage, GHashTable* aQuery);
   void answer(SoupServerMessage* aMessage, std::uint64_t aAfter) const;
   void wait(SoupServerMessage* aMessage, std::uint64_t aAfter, unsigned aSeconds);
+  void setMode(const std::string& aMode);
+  void forgetConnections();
+  const std::string& modeOf(SoupServerMessage* aMessage) const;
   void wake();
   void release(Waiter* aWaiter);
-  const Snapshot& visible() const { return mMode == "stale" ? mStale : mCurrent; }
+  const Snapshot& visible(SoupServerMessage* aMessage) const
+  {
+    return modeOf(aMessage) == "stale" ? mStale : mCurrent;
+  }
 
   std::string mName;
   SoupServer* mServer;
   std::string mMode = "up";
+  std::map<std::uint16_t, std::string> mModes; ///< by port, instead of mMode
+  std::set<std::string> mConnections;          ///< endpoints of readers that were seen
+  std::set<std::string> mForgotten;            ///< those that get no answer
   Snapshot mCurrent;
   Snapshot mStale;
   std::list<Waiter*> mWaiters;
--- a/tests/fakes/upstream/main.cpp
+++ b/tests/fakes/upstream/main.cpp
@@ -34,6 +34,9 @@
   stack.addAddress(settings.mService.mAddress);
   fakes::Server server(settings);
   fakes::LwipStack::run([&] { server.start(); });
+  stack.onArrival([&](const flow::TcpPacket& aPacket, const std::string& aData) {
+    server.onArrival(aPacket, aData);
+  });
   stack.start();
   for (;;) {
     pause();
--- a/tests/fakes/upstream/server.cpp
+++ b/tests/fakes/upstream/server.cpp
@@ -1,5 +1,6 @@
 #include "fakes/upstream/server.hpp"
 
+#include "fakes/common/digest.hpp"
 #include "fakes/common/record.hpp"
 
 namespace cornelcross::fakes {
@@ -16,7 +17,27 @@
   tcp_pcb* listener = tcp_listen_with_backlog(pcb, 255);
   tcp_arg(listener, this);
   tcp_accept(listener, &Server::onAccept);
-  record(mSettings.mName, "upstream_started", { { "cold_ms", std::to_string(mSettings.mColdMs) } });
+  record(mSettings.mName,
+         "upstream_started",
+         { { "service", mSettings.mService.toString() },
+           { "slots", std::to_string(mSettings.mSlots) },
+           { "cold_ms", std::to_string(mSettings.mColdMs) },
+           { "cold_slots", std::to_string(mSettings.mColdSlots) } });
+}
+
+void Server::onArrival(const flow::TcpPacket& aPacket, const std::string& aData)
+{
+  if (aPacket.mDestination != mSettings.mService) {
+    record(
+      mSettings.mName,
+      "foreign_packet",
+      { { "caller", aPacket.mSource.toString() }, { "service", aPacket.mDestination.toString() } });
+    return;
+  }
+  const auto request = AppRequest::parse(aData);
+  if (aPacket.opensFlow() && request) {
+    onRequest(nullptr, *request);
+  }
 }
 
 bool Server::isCold() const
@@ -68,6 +89,8 @@
 
 void Server::onRequest(const Connection& aConnection, const AppRequest& aRequest)
 {
+  record(
+    mSettings.mName, "request_received", { { "id", aRequest.mId }, { "kind", aRequest.mKind } });
   const auto concurrent = static_cast<std::uint32_t>(mRunning + mWaiting.size() + 1);
   if (isCold() && concurrent > mSettings.mColdSlots) {
     record(mSettings.mName,
@@ -77,7 +100,9 @@
   }
   if (mWaiting.size() >= mSettings.mQueue) {
     record(mSettings.mName, "request_shed", { { "id", aRequest.mId } });
-    aConnection->write(AppAnswer{ "shed", aRequest.mId, 0 }.toLine());
+    if (aConnection != nullptr) {
+      aConnection->write(AppAnswer{ "shed", aRequest.mId, 0 }.toLine());
+    }
     return;
   }
   mWaiting.push_back({ aConnection, aRequest });
@@ -105,9 +130,14 @@
   if (aJob.mRequest.mKind == "save") {
     record(mSettings.mName, "saved", { { "id", aJob.mRequest.mId } });
   }
-  record(mSettings.mName, "request_finished", { { "id", aJob.mRequest.mId } });
-  aJob.mConnection->write(AppAnswer{ "ok", aJob.mRequest.mId, aJob.mRequest.mSize }.toLine() +
-                          bodyOf(aJob.mRequest.mId, aJob.mRequest.mSize));
+  const std::string body = bodyOf(aJob.mRequest.mId, aJob.mRequest.mSize);
+  record(mSettings.mName,
+         "request_finished",
+         { { "id", aJob.mRequest.mId }, { "digest", digestOf(body) } });
+  if (aJob.mConnection != nullptr) {
+    aJob.mConnection->write(AppAnswer{ "ok", aJob.mRequest.mId, aJob.mRequest.mSize }.toLine() +
+                            body);
+  }
   startNext();
 }
 
--- a/tests/fakes/upstream/server.hpp
+++ b/tests/fakes/upstream/server.hpp
@@ -30,6 +30,10 @@
   /// @brief Starts listening.
   void start();
 
+  /// @brief A TCP segment arrived. Records one for another service, and runs a request that comes
+  /// in a SYN each time that it comes, as RFC 7413 (section 2.1) leaves it to applications.
+  void onArrival(const flow::TcpPacket& aPacket, const std::string& aData);
+
 private:
   using Connection = std::shared_ptr<TcpConnection>;
 
--- /dev/null
+++ b/tests/history/intervals.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cornelcross::history {
+
+class History;
+
+/// @brief A span of time, microseconds since the epoch.
+struct Interval
+{
+  std::uint64_t mBegin = 0;
+  std::uint64_t mEnd = UINT64_MAX;
+
+  auto operator<=>(const Interval&) const = default;
+
+  /// @brief True if the spans share a moment.
+  bool overlaps(const Interval& aOther) const
+  {
+    return mBegin <= aOther.mEnd && aOther.mBegin <= mEnd;
+  }
+};
+
+/// @brief Spans during which the last record of aEvent for aName had a field of value aState.
+std::vector<Interval> intervalsOf(const History& aHistory,
+                                  const std::string& aEvent,
+                                  const std::string& aName,
+                                  const std::string& aState);
+
+} // namespace cornelcross::history
--- /dev/null
+++ b/tests/scenarios/main.cpp
@@ -0,0 +1,134 @@
+#include "history/checker.hpp"
+#include "scenarios/runner/runner.hpp"
+
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+DEFINE_string(programs, "build", "folder with the programs");
+DEFINE_string(logs, "", "folder that keeps the logs; a temporary one if empty");
+DEFINE_bool(without_mechanism,
+            false,
+            "leave out the mechanism that the script names; it must fail");
+DEFINE_bool(rules, false, "print every rule of the language and end");
+DEFINE_bool(syntax, false, "check the script's syntax and end");
+DEFINE_uint64(seed, 1, "seed of loss, spraying and load");
+DEFINE_uint32(limit_seconds, 150, "seconds after which the run is ended as failed");
+
+namespace {
+
+using namespace cornelcross;
+
+constexpr int kExitUsage = 2;
+
+std::filesystem::path makeFolder()
+{
+  if (!FLAGS_logs.empty()) {
+    std::filesystem::create_directories(FLAGS_logs);
+    return FLAGS_logs;
+  }
+  std::string name = (std::filesystem::temp_directory_path() / "scenario-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("cannot make a folder for the logs");
+  }
+  return name;
+}
+
+std::string readFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    throw std::runtime_error("cannot read " + aPath);
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// Violations of the run's history, printed.
+std::vector<history::Violation> checkHistory(const std::filesystem::path& aLogs)
+{
+  const auto found = history::check(history::History::load(aLogs));
+  constexpr std::size_t kPrinted = 10;
+  for (std::size_t i = 0; i < found.size() && i < kPrinted; ++i) {
+    std::cout << "violation point=" << history::toString(found[i].mPoint) << " text=\""
+              << found[i].mText << "\"\n";
+  }
+  return found;
+}
+
+bool breaksPoint(const std::vector<history::Violation>& aFound, const std::string& aPoint)
+{
+  for (const auto& violation : aFound) {
+    if (history::toString(violation.mPoint) == aPoint) {
+      return true;
+    }
+  }
+  return false;
+}
+
+int runScript(const std::string& aPath)
+{
+  const std::filesystem::path logs = makeFolder();
+  scenarios::RunSettings settings{
+    std::filesystem::absolute(FLAGS_programs), logs, "", FLAGS_seed
+  };
+  auto script = scenarios::parseScript(readFile(aPath), scenarios::Runner(settings).rules());
+  if (const auto* errors = std::get_if<std::vector<scenarios::SyntaxError>>(&script)) {
+    for (const auto& error : *errors) {
+      std::cerr << aPath << ": " << error.toString() << '\n';
+    }
+    return kExitUsage;
+  }
+  if (FLAGS_syntax) {
+    return 0;
+  }
+  const auto& steps = std::get<std::vector<scenarios::Step>>(script);
+  if (FLAGS_without_mechanism) {
+    settings.mFault = scenarios::Runner::faultOf(steps);
+  }
+  std::cout << "scenario=" << aPath << " seed=" << FLAGS_seed << " without=\"" << settings.mFault
+            << "\" logs=" << logs << std::endl;
+  std::string failure;
+  {
+    scenarios::Runner runner(settings);
+    failure = runner.run(steps, runner.rules());
+  }
+  const auto found = checkHistory(logs);
+  const std::string point = scenarios::Runner::pointOf(steps);
+  const bool isAsWanted =
+    FLAGS_without_mechanism ? breaksPoint(found, point) : failure.empty() && found.empty();
+  std::cout << "result=" << (isAsWanted ? "pass" : "fail") << " violations=" << found.size()
+            << " failure=\"" << failure << "\"\n";
+  if (isAsWanted && FLAGS_logs.empty()) {
+    std::filesystem::remove_all(logs);
+  }
+  return isAsWanted ? 0 : 1;
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  gflags::SetUsageMessage("run-scenario [FLAGS] SCRIPT");
+  gflags::ParseCommandLineFlags(&aArgc, &aArgv, true);
+  alarm(FLAGS_limit_seconds); // ends the run, and the children with it, whatever happens
+  try {
+    if (FLAGS_rules) {
+      for (const auto& rule : scenarios::Runner({ {}, makeFolder(), "", 1 }).rules()) {
+        std::cout << rule.mPattern << '\n';
+      }
+      return 0;
+    }
+    if (aArgc != 2) {
+      std::cerr << "usage: run-scenario [FLAGS] SCRIPT\n";
+      return kExitUsage;
+    }
+    return runScript(aArgv[1]);
+  } catch (const std::exception& error) {
+    std::cerr << "error: " << error.what() << '\n';
+    return 1;
+  }
+}
