--- a/tests/fakes/config_service/service.cpp
+++ b/tests/fakes/config_service/service.cpp
@@ -117,6 +117,9 @@
 {
   record(mName, "mode", { { "mode", '"' + aMode + '"' }, { "calls", std::to_string(mCalls) } });
   const auto space = aMode.find(' ');
+  if (aMode.starts_with("stale") && !isStaleAnywhere()) {
+    mStale = mCurrent;
+  }
   if (aMode == "forget") {
     forgetConnections();
   } else if (space != std::string::npos) {
@@ -125,11 +128,17 @@
   } else {
     mMode = aMode;
     mModes.clear();
-    mStale = mCurrent;
   }
   wake();
 }
 
+bool ConfigService::isStaleAnywhere() const
+{
+  return mMode == "stale" || std::any_of(mModes.begin(), mModes.end(), [](const auto& aEntry) {
+           return aEntry.second == "stale";
+         });
+}
+
 void ConfigService::forgetConnections()
 {
   mForgotten = mConnections;
--- a/tests/fakes/config_service/service.hpp
+++ b/tests/fakes/config_service/service.hpp
@@ -67,6 +67,7 @@
   void answer(SoupServerMessage* aMessage, std::uint64_t aAfter) const;
   void wait(SoupServerMessage* aMessage, std::uint64_t aAfter, unsigned aSeconds);
   void setMode(const std::string& aMode);
+  bool isStaleAnywhere() const;
   void forgetConnections();
   const std::string& modeOf(SoupServerMessage* aMessage) const;
   void wake();
