--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -1,9 +1,11 @@
 #include "config/document_store.hpp"
 
 #include "base/mechanisms.hpp"
+#include "config/cross_check.hpp"
 #include "config/parse.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelcross::config {
 
@@ -23,6 +25,12 @@
   return aKey.substr(kServicePrefix.size());
 }
 
+bool isOlder(const Document& aLeft, const Document& aRight)
+{
+  return aLeft.mRevision != aRight.mRevision ? aLeft.mRevision < aRight.mRevision
+                                             : aLeft.mKey < aRight.mKey;
+}
+
 template<class T>
 Parsed<DocumentValue> widen(Parsed<T> aParsed)
 {
@@ -57,56 +65,173 @@
                                               const std::vector<Document>& aDocuments)
 {
   std::vector<ConfigError> errors;
-  bool changed = aRevision > mRevision;
-  for (const Document& document : aDocuments) {
-    const auto found = mAccepted.find(document.mKey);
-    const bool isOlder =
-      found != mAccepted.end() && found->second.mDocument.mRevision >= document.mRevision;
-    if (isOlder && base::mechanisms().mKeepRevisions) {
-      continue;
-    }
-    Parsed<DocumentValue> parsed = parseDocument(document);
-    if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
-      errors.insert(errors.end(), faults->begin(), faults->end());
-      continue;
-    }
-    mAccepted[document.mKey] = { document, std::get<DocumentValue>(std::move(parsed)) };
-    changed = true;
+  std::vector<Document> documents = aDocuments;
+  std::sort(documents.begin(), documents.end(), isOlder);
+  std::shared_ptr<Configuration> next;
+  bool accepted = false;
+  for (const Document& document : documents) {
+    accepted = accept(document, next, errors) || accepted;
+  }
+  while (accepted) {
+    accepted = retryConflicting(next);
   }
-  mRevision = std::max(mRevision, aRevision);
-  if (changed) {
-    rebuild();
+  if (aRevision > mRevision) {
+    mRevision = aRevision;
+    editable(next);
+  }
+  if (next) {
+    next->mRevision = mRevision;
+    mConfiguration = std::move(next);
   }
   return errors;
 }
 
+Configuration& DocumentStore::editable(std::shared_ptr<Configuration>& aNext) const
+{
+  if (!aNext) {
+    aNext = std::make_shared<Configuration>(*mConfiguration);
+  }
+  return *aNext;
+}
+
+bool DocumentStore::retryConflicting(std::shared_ptr<Configuration>& aNext)
+{
+  std::vector<Document> documents;
+  for (const auto& [key, document] : std::exchange(mConflicting, {})) {
+    documents.push_back(document);
+  }
+  std::sort(documents.begin(), documents.end(), isOlder);
+  std::vector<ConfigError> alreadyReported;
+  bool accepted = false;
+  for (const Document& document : documents) {
+    accepted = accept(document, aNext, alreadyReported) || accepted;
+  }
+  return accepted;
+}
+
+bool DocumentStore::accept(const Document& aDocument,
+                           std::shared_ptr<Configuration>& aNext,
+                           std::vector<ConfigError>& aErrors)
+{
+  const auto found = mAccepted.find(aDocument.mKey);
+  const bool isOld = found != mAccepted.end() && found->second.mRevision >= aDocument.mRevision;
+  if (isOld && base::mechanisms().mKeepRevisions) {
+    return false;
+  }
+  Parsed<DocumentValue> parsed = parseDocument(aDocument);
+  if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
+    reject(aDocument, *faults, aErrors);
+    return false;
+  }
+  auto& value = std::get<DocumentValue>(parsed);
+  if (const auto* service = std::get_if<Service>(&value)) {
+    const std::vector<ConfigError> faults = crossCheck(*service, mEndpoints);
+    if (!faults.empty()) {
+      reject(aDocument, faults, aErrors);
+      mConflicting.insert_or_assign(aDocument.mKey, aDocument);
+      return false;
+    }
+    mEndpoints.store(*service);
+  } else if (isServiceKey(aDocument.mKey)) {
+    mEndpoints.erase(serviceName(aDocument.mKey));
+  }
+  mConflicting.erase(aDocument.mKey);
+  keep(aDocument);
+  apply(aDocument.mKey, std::move(value), editable(aNext));
+  return true;
+}
+
+void DocumentStore::reject(const Document& aDocument,
+                           const std::vector<ConfigError>& aFaults,
+                           std::vector<ConfigError>& aErrors)
+{
+  aErrors.insert(aErrors.end(), aFaults.begin(), aFaults.end());
+  std::uint64_t& rejected = mRejected[aDocument.mKey];
+  rejected = std::max(rejected, aDocument.mRevision);
+}
+
 std::vector<Document> DocumentStore::documentsAfter(std::uint64_t aRevision) const
+{
+  return batchAfter(aRevision, SIZE_MAX).mDocuments;
+}
+
+DocumentBatch DocumentStore::batchAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const
+{
+  DocumentBatch batch{ mRevision, {} };
+  std::size_t bytes = 0;
+  std::uint64_t last = aRevision;
+  for (auto it = mByRevision.lower_bound({ aRevision + 1, "" }); it != mByRevision.end(); ++it) {
+    if (bytes >= aMaxBytes && it->first != last) {
+      batch.mRevision = last;
+      return batch;
+    }
+    const Document& document = mAccepted.at(it->second);
+    bytes += document.mKey.size() + document.mText.value_or("").size();
+    last = document.mRevision;
+    batch.mDocuments.push_back(document);
+  }
+  return batch;
+}
+
+std::vector<Document> DocumentStore::documentsOf(const std::vector<std::string>& aKeys) const
 {
   std::vector<Document> documents;
-  for (const auto& [key, accepted] : mAccepted) {
-    if (accepted.mDocument.mRevision > aRevision) {
-      documents.push_back(accepted.mDocument);
+  for (const std::string& key : aKeys) {
+    const auto found = mAccepted.find(key);
+    if (found != mAccepted.end()) {
+      documents.push_back(found->second);
     }
   }
   return documents;
 }
 
-void DocumentStore::rebuild()
+std::vector<std::string> DocumentStore::rejectedKeys() const
+{
+  std::vector<std::string> keys;
+  for (const auto& [key, revision] : mRejected) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+void DocumentStore::keep(const Document& aDocument)
+{
+  const std::string& key = aDocument.mKey;
+  Document& accepted = mAccepted[key];
+  mByRevision.erase({ accepted.mRevision, key });
+  mByRevision.emplace(aDocument.mRevision, key);
+  accepted = aDocument;
+  const auto rejected = mRejected.find(key);
+  if (rejected != mRejected.end() && rejected->second <= aDocument.mRevision) {
+    mRejected.erase(rejected);
+  }
+}
+
+void DocumentStore::apply(const std::string& aKey, DocumentValue aValue, Configuration& aNext)
 {
-  auto next = std::make_shared<Configuration>();
-  next->mRevision = mRevision;
-  for (const auto& [key, accepted] : mAccepted) {
-    if (const auto* service = std::get_if<Service>(&accepted.mValue)) {
-      next->mServices.emplace(service->mName, *service);
-    } else if (const auto* zones = std::get_if<std::vector<AvailabilityZone>>(&accepted.mValue)) {
-      for (const AvailabilityZone& zone : *zones) {
-        next->mZones.emplace(zone.mName, zone);
-      }
-    } else if (const auto* workspaces = std::get_if<std::vector<Workspace>>(&accepted.mValue)) {
-      next->mWorkspaces = *workspaces;
+  if (auto* service = std::get_if<Service>(&aValue)) {
+    aNext.mServices.insert_or_assign(serviceName(aKey), std::move(*service));
+  } else if (auto* zones = std::get_if<std::vector<AvailabilityZone>>(&aValue)) {
+    aNext.mZones.clear();
+    for (const AvailabilityZone& zone : *zones) {
+      aNext.mZones.emplace(zone.mName, zone);
     }
+  } else if (auto* workspaces = std::get_if<std::vector<Workspace>>(&aValue)) {
+    aNext.mWorkspaces = std::move(*workspaces);
+  } else {
+    remove(aKey, aNext);
+  }
+}
+
+void DocumentStore::remove(const std::string& aKey, Configuration& aNext)
+{
+  if (aKey == kZonesKey) {
+    aNext.mZones.clear();
+  } else if (aKey == kWorkspacesKey) {
+    aNext.mWorkspaces.clear();
+  } else {
+    aNext.mServices.erase(serviceName(aKey));
   }
-  mConfiguration = std::move(next);
 }
 
 } // namespace cornelcross::config
