--- a/tests/fakes/common/lwip_stack.hpp
+++ b/tests/fakes/common/lwip_stack.hpp
@@ -6,6 +6,7 @@
 #include <lwip/netif.h>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,7 @@
   static err_t initialize(netif* aNetif);
   void send(pbuf* aBuffer);
   void appendSynData(flow::Bytes& aBytes, const flow::TcpPacket& aPacket);
+  std::uint32_t synDataLength(const flow::FlowKey& aFlow);
   void observe(const flow::TcpPacket& aPacket, const flow::Bytes& aBytes) const;
   void receive();
   std::uint32_t shiftOf(const flow::FlowKey& aFlow) const;
@@ -62,6 +64,7 @@
   std::vector<std::unique_ptr<netif>> mInterfaces;
   std::function<void(const flow::TcpPacket&, std::string)> mObserver;
   std::string mNextSynData;
+  std::mutex mSynDataLock; ///< guards mSynData, which both threads use
   std::map<flow::FlowKey, std::string> mSynData;
 };
 
--- a/tests/scenarios/runner/fleet.hpp
+++ b/tests/scenarios/runner/fleet.hpp
@@ -48,6 +48,9 @@
   /// @brief Starts one process.
   void start(const std::string& aName, bool aIsCold = false);
 
+  /// @brief Waits until a balancer or agent answers /healthz. @throws std::runtime_error
+  void waitUntilHealthy(const std::string& aName);
+
   /// @brief SIGTERM; waits for the end. @throws std::runtime_error if it doesn't end
   void stop(const std::string& aName);
 
--- a/tests/scenarios/runner/runner.cpp
+++ b/tests/scenarios/runner/runner.cpp
@@ -115,6 +115,7 @@
   aRules.push_back({ "replace NAME", [this](const Arguments& aWords) {
                       mFleet.stop(aWords.text(0));
                       mFleet.start(aWords.text(0));
+                      mFleet.waitUntilHealthy(aWords.text(0));
                       mFleet.sprayOverRunning();
                     } });
   aRules.push_back({ "restart NAME cold", [this](const Arguments& aWords) {
