--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -3,6 +3,7 @@
 #include "base/mechanisms.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cornelcross::agent {
@@ -32,16 +33,19 @@
   : mSettings(aSettings)
   , mConfiguration(std::make_shared<const config::Configuration>())
   , mAdmission(aSettings.mMaxFlows)
+  , mChain(mPeers)
 {
 }
 
-Actions Decisions::apply(base::Time, config::ConfigurationPtr aConfiguration)
+Actions Decisions::apply(base::Time aNow, config::ConfigurationPtr aConfiguration)
 {
   if (aConfiguration->mRevision < revision()) {
     return {};
   }
+  mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
   mUpstream.reset();
+  mChain.configure(mConfiguration, nullptr);
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
       if (upstream.mAgent == mSettings.mSelf) {
@@ -49,6 +53,7 @@
         mServiceAddress = service.mAddress;
         mService = config::upstreamIdentity(name, "");
         mAdmission.configure(upstream.mSlots);
+        mChain.configure(mConfiguration, &service);
       }
     }
   }
@@ -107,12 +112,13 @@
 {
   const bool isEligible = mConfiguration->mayOpen(*mUpstream);
   if (!isEligible || mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
-    return pass(aPacket, std::move(aForward));
+    return mChain.pass(aNow, aPacket, std::move(aForward));
   }
   FlowRecord record;
   record.mCallerInitial = aPacket.mSequence;
   record.mLastSeen = aNow;
   mFlows.insert(aPacket.keyFromCaller(), record);
+  mInquiry.erase(aPacket.keyFromCaller());
   mAdmission.flowOpened(aNow);
   flow::stripSynPayload(aForward.mPacket, aPacket);
   flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
@@ -135,7 +141,7 @@
   const flow::FlowKey key = aPacket.keyFromCaller();
   FlowRecord* record = mFlows.find(key);
   if (record == nullptr) {
-    return pass(aPacket, std::move(aForward));
+    return onUnrecorded(aNow, aPacket, std::move(aForward));
   }
   const bool fits =
     !aPacket.has(flow::kAck) || acknowledgementFits(*record, aPacket.mAcknowledgement);
@@ -146,7 +152,7 @@
     const bool isReset = aPacket.has(flow::kRst) && aPacket.mSequence == record->mCallerInitial + 1;
     if (!isOwned && !isReset) {
       Actions actions = abandonHalfOpen(aNow, key, *record);
-      Actions passed = pass(aPacket, std::move(aForward));
+      Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
       actions.insert(actions.end(),
                      std::make_move_iterator(passed.begin()),
                      std::make_move_iterator(passed.end()));
@@ -154,11 +160,55 @@
     }
     record->mState = isReset ? record->mState : FlowState::kEstablished;
   } else if (!fits) {
-    return pass(aPacket, std::move(aForward));
+    return mChain.pass(aNow, aPacket, std::move(aForward));
   }
   return deliver(aNow, *record, aPacket, aForward);
 }
 
+bool Decisions::recordsAreComplete(base::Time aNow) const
+{
+  return mStarted && aNow - *mStarted >= mSettings.mRecoveryWindow;
+}
+
+Actions Decisions::onUnrecorded(base::Time aNow,
+                                const flow::TcpPacket& aPacket,
+                                wire::Forward aForward)
+{
+  if (aForward.mInquiry != wire::Inquiry::kNone) {
+    return onInquiry(aNow, aPacket, std::move(aForward));
+  }
+  Actions actions;
+  const bool isUnsure =
+    !recordsAreComplete(aNow) && !mInquiry.isDenied(aNow, aPacket.keyFromCaller());
+  if (isUnsure) {
+    actions = Chain::addUnsure(mSettings.mSelf, aForward);
+  }
+  Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
+  std::move(passed.begin(), passed.end(), std::back_inserter(actions));
+  return actions;
+}
+
+Actions Decisions::onInquiry(base::Time aNow,
+                             const flow::TcpPacket& aPacket,
+                             wire::Forward aForward)
+{
+  const bool isFinal = aForward.mInquiry == wire::Inquiry::kFinal;
+  if (!mInquiry.ask(aNow, aPacket.keyFromCaller(), isFinal)) {
+    return { DropPacket{ DropReason::kNoOwner } };
+  }
+  Actions actions;
+  if (aPacket.mPayloadLength == 0 && !aPacket.has(flow::kFin) && !aPacket.has(flow::kRst)) {
+    // An acceptable bare ACK is not answered; a segment before the window is (RFC 9293, section
+    // 3.10.7.4), so that a flow of which only the caller is heard becomes known at once.
+    flow::Bytes keepAlive = aForward.mPacket;
+    flow::setSequence(keepAlive, aPacket, aPacket.mSequence - 1);
+    actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, std::move(keepAlive) });
+  }
+  actions.insert(actions.begin(),
+                 DeliverToUpstream{ mUpstream->mAddress, std::move(aForward.mPacket) });
+  return actions;
+}
+
 Actions Decisions::deliver(base::Time aNow,
                            FlowRecord& aRecord,
                            const flow::TcpPacket& aPacket,
@@ -208,36 +258,6 @@
   mAdmission.requestAnswered(aNow, aNow - aRecord.mBusySince);
 }
 
-Actions Decisions::pass(const flow::TcpPacket& aPacket, wire::Forward aForward) const
-{
-  const std::size_t next = aForward.mPosition + std::size_t{ 1 };
-  if (next >= aForward.mCandidates.size()) {
-    return endChain(aPacket, aForward);
-  }
-  aForward.mPosition = static_cast<std::uint8_t>(next);
-  const flow::Endpoint agent = aForward.mCandidates[next];
-  return { SendMessage{ agent, std::move(aForward) } };
-}
-
-Actions Decisions::endChain(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const
-{
-  if (aPacket.has(flow::kRst)) {
-    return { DropPacket{ DropReason::kNoOwner } };
-  }
-  if (aPacket.opensFlow()) {
-    // True under any configuration: no upstream was given this SYN.
-    return { SendToCaller{ flow::makeReset(aPacket) },
-             telemetry::Event{
-               telemetry::EventKind::kFlowRefused,
-               { { "flow", aPacket.keyFromCaller().toString() },
-                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) } } } };
-  }
-  if (!aForward.mIsUnanimous || !aForward.mIsComplete) {
-    return { DropPacket{ DropReason::kNoOwner } };
-  }
-  return { SendToCaller{ flow::makeReset(aPacket) } };
-}
-
 Actions Decisions::abandonHalfOpen(base::Time aNow,
                                    const flow::FlowKey& aFlow,
                                    const FlowRecord& aRecord)
@@ -268,6 +288,10 @@
   const flow::FlowKey key = packet->keyFromUpstream();
   FlowRecord* record = mFlows.find(key);
   Actions actions;
+  const bool isUnrecordedReset = record == nullptr && packet->has(flow::kRst);
+  if (isUnrecordedReset && mInquiry.onReset(aNow, key) == ResetVerdict::kHold) {
+    return { DropPacket{ DropReason::kNotOwned } };
+  }
   if (record == nullptr && packet->has(flow::kSyn)) {
     return { DropPacket{ DropReason::kNoRecord } };
   }
@@ -276,6 +300,7 @@
     FlowRecord adopted;
     adopted.mState = FlowState::kEstablished;
     record = &mFlows.insert(key, adopted);
+    mInquiry.erase(key);
     mAdmission.flowOpened(aNow);
     actions.emplace_back(
       telemetry::Event{ telemetry::EventKind::kFlowAdopted, { { "flow", key.toString() } } });
@@ -338,6 +363,7 @@
 
 Actions Decisions::onTick(base::Time aNow)
 {
+  mInquiry.expire(aNow);
   Actions actions;
   mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
     if (!isExpired(aNow, aRecord)) {
@@ -349,4 +375,13 @@
   return actions;
 }
 
+Actions Decisions::onPeerTick(base::Time aNow)
+{
+  Actions actions;
+  for (const flow::Endpoint peer : mPeers.takeProbes(aNow)) {
+    actions.emplace_back(SendMessage{ peer, wire::Probe{ ++mNonce } });
+  }
+  return actions;
+}
+
 } // namespace cornelcross::agent
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -9,7 +9,7 @@
 class ServiceRoutes
 {
 public:
-  /// @brief Prepares aService, which must outlive this object.
+  /// @brief Prepares aService, which is part of aConfiguration; both must outlive this object.
   ServiceRoutes(const config::Configuration& aConfiguration, const config::Service& aService);
 
   /// @brief The service.
@@ -21,6 +21,9 @@
   /// @brief Number of upstreams in availability zones that are in.
   std::size_t receivers() const { return mReceivers.size(); }
 
+  /// @brief True if aAgent is the agent of an upstream that may receive packets. @note O(n)
+  bool mayReceive(flow::Endpoint aAgent) const;
+
   /// @brief Agents to ask about a flow, most likely owner first, at most aLimit of them. For a new
   /// flow those that may open it come first; the others can only say whether they own it already.
   std::vector<flow::Endpoint> candidates(std::uint64_t aFlowHash,
@@ -28,6 +31,7 @@
                                          std::size_t aLimit) const;
 
 private:
+  const config::Configuration* mConfiguration;
   const config::Service* mService;
   std::uint64_t mIdentity;
   Ranking mReceivers;     ///< upstreams in availability zones that are in
