--- a/tests/fakes/config_service/service.hpp
+++ b/tests/fakes/config_service/service.hpp
@@ -13,8 +13,8 @@
 /// @brief Fake configuration service. Readers: GET /v1/documents?after=REVISION&wait=SECONDS.
 /// Operators: PUT or DELETE /v1/documents/KEY. Tests: PUT /control/mode with "up", "down" (answers
 /// 503), "silent" (never answers), "slow" (answers a second late) or "stale" (answers as it was
-/// when this mode began); "MODE PORT" sets the mode of the readers that use one port, and "forget"
-/// leaves every connection of now without an answer while new ones work.
+/// when this mode began, or at the last "mark"); "MODE PORT" sets the mode of the readers that use
+/// one port, and "forget" leaves every connection of now without an answer while new ones work.
 class ConfigService
 {
 public:
@@ -85,6 +85,7 @@
   std::set<std::string> mForgotten;            ///< those that get no answer
   Snapshot mCurrent;
   Snapshot mStale;
+  bool mIsMarked = false; ///< mStale stays as it is
   std::list<Waiter*> mWaiters;
   std::uint64_t mCalls = 0;
 };
--- a/tests/history/history.cpp
+++ b/tests/history/history.cpp
@@ -37,6 +37,17 @@
   return History(std::move(records));
 }
 
+std::uint64_t History::acceptedAt(std::uint64_t aRevision) const
+{
+  std::uint64_t first = UINT64_MAX;
+  each("config_applied", [&](const Record& aRecord) {
+    if (aRecord.number("revision") >= aRevision) {
+      first = std::min(first, aRecord.mTime);
+    }
+  });
+  return first;
+}
+
 void History::each(const std::string& aEvent,
                    const std::function<void(const Record&)>& aVisit) const
 {
--- a/tests/history/history.hpp
+++ b/tests/history/history.hpp
@@ -37,6 +37,10 @@
   /// @brief Processes that the scenario declared, by name.
   const std::map<std::string, NodeInfo>& nodes() const { return mNodes; }
 
+  /// @brief When a revision, or a higher one, was first in force in any process; UINT64_MAX if
+  /// never.
+  std::uint64_t acceptedAt(std::uint64_t aRevision) const;
+
   /// @brief Time of the last record.
   std::uint64_t end() const { return mRecords.empty() ? 0 : mRecords.back().mTime; }
 
--- a/tests/history/intervals.hpp
+++ b/tests/history/intervals.hpp
@@ -16,6 +16,12 @@
 
   auto operator<=>(const Interval&) const = default;
 
+  /// @brief True if aTime is in the span and more than aDelay after its begin.
+  bool containsAfter(std::uint64_t aDelay, std::uint64_t aTime) const
+  {
+    return aTime > mBegin && aTime - mBegin > aDelay && aTime < mEnd;
+  }
+
   /// @brief True if the spans share a moment.
   bool overlaps(const Interval& aOther) const
   {
@@ -23,7 +29,8 @@
   }
 };
 
-/// @brief Spans during which the last record of aEvent for aName had a field of value aState.
+/// @brief Spans during which the last record of aEvent for aName had the state aState. What
+/// operators publish, which names its revision, counts from its acceptance by any process.
 std::vector<Interval> intervalsOf(const History& aHistory,
                                   const std::string& aEvent,
                                   const std::string& aName,
