Limit concurrency by answer times and spread new flows by load

Cause: the agent admitted every flow up to 2,000, so that an upstream in its cold start got its full share and the busiest upstream decided how long callers waited.

Change: a concurrency limit learned from answer times (low during a cold start, one more each window while answers are as fast as usual, down when they slow), bounded loads on the walk along the candidates, a fair queue over workspaces for new flows without room, and a gate for requests of flows that an upstream has already. A retransmitted request is counted once; an application that only sends stops counting as load.

--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -1,21 +1,60 @@
 #include "admission/admission_control.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace cornelcross::admission {
 
-AdmissionControl::AdmissionControl(std::uint32_t aMaxFlows) : mMaxFlows(aMaxFlows) {}
+namespace {
+
+/// Time constant of the mean load: several requests, and several reports.
+constexpr base::Duration kMeanTime = std::chrono::milliseconds(500);
+
+/// Resets within kResetWindow from which the upstream counts as restarted. One alone may be an
+/// application's own.
+constexpr std::uint32_t kRestartResets = 2;
+constexpr base::Duration kResetWindow = std::chrono::seconds(1);
+
+} // namespace
 
-void AdmissionControl::configure(std::uint32_t aSlots)
+AdmissionControl::AdmissionControl(const AdmissionSettings& aSettings)
+  : mSettings(aSettings), mLimit(aSettings.mLimit)
 {
-  mSlots = aSlots;
 }
 
-Verdict AdmissionControl::decide(base::Time) const
+void AdmissionControl::configure(base::Time aNow, std::uint32_t aSlots, bool aIsJoining)
 {
-  return mFlows < mMaxFlows ? Verdict::kAdmit : Verdict::kPass;
+  mLimit.configure(aSlots);
+  if (!mIsConfigured || (aIsJoining && !mIsJoining)) {
+    mLimit.restart(aNow);
+  }
+  mIsConfigured = true;
+  mIsJoining = aIsJoining;
 }
 
-void AdmissionControl::flowOpened(base::Time)
+Offer AdmissionControl::offer(base::Time aNow, bool aIsEligible) const
 {
+  if (mFlows >= mSettings.mMaxFlows) {
+    return { aIsEligible, false, 0 };
+  }
+  const double share = mService.share(aNow, meanLoad(aNow), limit());
+  const bool isBelow = load() < std::ceil(share);
+  return { aIsEligible, isBelow, static_cast<std::uint16_t>(std::min(room(), 0xFFFFU)) };
+}
+
+void AdmissionControl::flowOpened(base::Time aNow)
+{
+  advance(aNow);
+  ++mFlows;
+  ++mExpected;
+}
+
+// The flow is older than the agent, and so is the upstream: the agent alone has restarted.
+void AdmissionControl::flowAdopted(base::Time)
+{
+  if (!mIsJoining) {
+    mLimit.endColdStart();
+  }
   ++mFlows;
 }
 
@@ -24,19 +63,69 @@
   --mFlows;
 }
 
-void AdmissionControl::requestStarted(base::Time)
+void AdmissionControl::expectationEnded(base::Time aNow)
 {
+  advance(aNow);
+  --mExpected;
+}
+
+void AdmissionControl::requestStarted(base::Time aNow, bool aIsExpected)
+{
+  advance(aNow);
   ++mBusy;
+  mExpected -= aIsExpected ? 1 : 0;
 }
 
-void AdmissionControl::requestAnswered(base::Time, base::Duration)
+void AdmissionControl::requestAnswered(base::Time aNow, base::Duration aLatency)
 {
+  advance(aNow);
+  mLimit.onAnswer(aNow, aLatency, load());
   --mBusy;
 }
 
-void AdmissionControl::requestAbandoned(base::Time)
+void AdmissionControl::requestAbandoned(base::Time aNow)
 {
+  advance(aNow);
   --mBusy;
 }
 
+void AdmissionControl::upstreamReset(base::Time aNow)
+{
+  if (mResets == 0 || aNow - mFirstReset > kResetWindow) {
+    mResets = 0;
+    mFirstReset = aNow;
+  }
+  if (++mResets >= kRestartResets) {
+    mLimit.restart(aNow);
+    mResets = 0;
+  }
+}
+
+void AdmissionControl::learn(base::Time aNow, const wire::LoadReport& aReport)
+{
+  mService.learn(aNow, aReport);
+}
+
+wire::LoadReport AdmissionControl::report(base::Time aNow, std::uint64_t aUpstream)
+{
+  advance(aNow);
+  return { aUpstream,
+           mBusy,
+           limit(),
+           mFlows,
+           static_cast<std::uint32_t>(std::lround(mMeanLoad * wire::kLoadUnit)) };
+}
+
+double AdmissionControl::meanLoad(base::Time aNow) const
+{
+  const double elapsed = std::chrono::duration<double>(aNow - mUpdated) / kMeanTime;
+  return load() + (mMeanLoad - load()) * std::exp(-elapsed);
+}
+
+void AdmissionControl::advance(base::Time aNow)
+{
+  mMeanLoad = meanLoad(aNow);
+  mUpdated = aNow;
+}
+
 } // namespace cornelcross::admission
--- a/src/admission/admission_control.hpp
+++ b/src/admission/admission_control.hpp
@@ -1,56 +1,101 @@
 #pragma once
 
-#include "admission/verdict.hpp"
-#include "base/time.hpp"
+#include "admission/admission_settings.hpp"
+#include "admission/concurrency_limit.hpp"
+#include "admission/service_load.hpp"
+#include "admission/walk.hpp"
 
 #include <cstdint>
 
 /// @brief Limits that keep an upstream from more load than it bears.
 namespace cornelcross::admission {
 
-/// @brief Decides which new flows an agent's upstream takes, from what the agent sees itself.
-/// Deterministic: time comes with each call.
+/// @brief Decides which new flows and requests an agent's upstream takes, from what the agent sees
+/// itself. Deterministic: time comes with each call.
 class AdmissionControl
 {
 public:
-  /// @param aMaxFlows connections that the upstream holds at most
-  explicit AdmissionControl(std::uint32_t aMaxFlows);
+  explicit AdmissionControl(const AdmissionSettings& aSettings);
 
-  /// @brief Adopts the number of slots that the configuration declares.
-  void configure(std::uint32_t aSlots);
+  /// @brief Adopts what the configuration declares. An upstream that is joining is cold.
+  void configure(base::Time aNow, std::uint32_t aSlots, bool aIsJoining);
 
-  /// @brief Decides on a new flow.
-  Verdict decide(base::Time aNow) const;
+  /// @brief The upstream has started, as far as is known.
+  void restart(base::Time aNow) { mLimit.restart(aNow); }
 
-  /// @brief A flow was admitted.
+  /// @brief What the upstream could do with a new flow. @param aIsEligible the configuration lets
+  /// it
+  Offer offer(base::Time aNow, bool aIsEligible) const;
+
+  /// @brief A flow was admitted. Its first request is expected and counts as load.
   void flowOpened(base::Time aNow);
 
-  /// @brief A flow ended. Its request, if it had one, ends first.
+  /// @brief A flow of an earlier agent was found; nothing is expected of it.
+  void flowAdopted(base::Time aNow);
+
+  /// @brief A flow ended. Its request or expectation, if it had one, ends first.
   void flowClosed(base::Time aNow);
 
+  /// @brief The first request of an admitted flow didn't come.
+  void expectationEnded(base::Time aNow);
+
   /// @brief A flow's request began: payload went towards the upstream.
-  void requestStarted(base::Time aNow);
+  /// @param aIsExpected the request is the first one of an admitted flow
+  void requestStarted(base::Time aNow, bool aIsExpected);
 
   /// @brief A flow's request was answered after aLatency.
   void requestAnswered(base::Time aNow, base::Duration aLatency);
 
-  /// @brief A flow ended with its request unanswered.
+  /// @brief A flow ended with its request unanswered, or no answer is awaited any more.
   void requestAbandoned(base::Time aNow);
 
+  /// @brief The upstream reset a flow with a request in progress, or refused a new one. An upstream
+  /// that has restarted does that to every flow that it had.
+  void upstreamReset(base::Time aNow);
+
+  /// @brief Another agent of the service told its load.
+  void learn(base::Time aNow, const wire::LoadReport& aReport);
+
+  /// @brief The service's upstreams have changed.
+  void forgetReports() { mService.clear(); }
+
+  /// @brief What this agent tells the others.
+  wire::LoadReport report(base::Time aNow, std::uint64_t aUpstream);
+
   /// @brief Open flows.
   std::uint32_t flows() const { return mFlows; }
 
   /// @brief Flows with a request in progress.
   std::uint32_t busy() const { return mBusy; }
 
-  /// @brief Requests that may be in progress at once before new flows are passed on.
-  std::uint32_t limit() const { return mSlots; }
+  /// @brief Requests in progress and expected.
+  std::uint32_t load() const { return mBusy + mExpected; }
+
+  /// @brief Requests that may be in progress at once.
+  std::uint32_t limit() const { return mLimit.value(); }
+
+  /// @brief Requests that the upstream could take more.
+  std::uint32_t room() const { return load() < limit() ? limit() - load() : 0; }
+
+  /// @brief True during a cold start.
+  bool isCold() const { return mLimit.isCold(); }
 
 private:
-  std::uint32_t mMaxFlows;
-  std::uint32_t mSlots = 1;
+  void advance(base::Time aNow);
+  double meanLoad(base::Time aNow) const;
+
+  AdmissionSettings mSettings;
+  ConcurrencyLimit mLimit;
+  ServiceLoad mService;
+  bool mIsConfigured = false;
+  bool mIsJoining = false;
   std::uint32_t mFlows = 0;
   std::uint32_t mBusy = 0;
+  std::uint32_t mExpected = 0;
+  std::uint32_t mResets = 0;
+  base::Time mFirstReset;
+  base::Time mUpdated;  ///< when mMeanLoad was last brought up to date
+  double mMeanLoad = 0; ///< exponentially weighted mean of load()
 };
 
 } // namespace cornelcross::admission
--- /dev/null
+++ b/src/admission/admission_settings.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "admission/concurrency_limit.hpp"
+
+namespace cornelcross::admission {
+
+/// @brief Settings of an agent's admission.
+struct AdmissionSettings
+{
+  std::uint32_t mMaxFlows = 2000; ///< connections that the upstream holds at most
+  LimitSettings mLimit = {};
+  base::Duration mHold = std::chrono::milliseconds(750); ///< a new flow waits at most so long
+  std::size_t mMaxHeld = 256;                            ///< new flows that wait at most
+
+  auto operator<=>(const AdmissionSettings&) const = default;
+};
+
+} // namespace cornelcross::admission
--- /dev/null
+++ b/src/admission/concurrency_limit.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace cornelcross::admission {
+
+/// @brief Settings of a concurrency limit.
+struct LimitSettings
+{
+  std::uint32_t mColdLimit = 1;                            ///< requests at once during a cold start
+  base::Duration mColdStart = std::chrono::seconds(20);    ///< length of a cold start
+  base::Duration mWindow = std::chrono::milliseconds(250); ///< shortest time between two changes
+  std::uint32_t mMinSamples = 4;                           ///< answers that a change needs at least
+
+  auto operator<=>(const LimitSettings&) const = default;
+};
+
+/// @brief Requests that an upstream may run at once, learned from its answer times.
+/// Starts low after each start, grows while answers come as fast as usual, falls when they slow
+/// down or fail.
+class ConcurrencyLimit
+{
+public:
+  explicit ConcurrencyLimit(const LimitSettings& aSettings) : mSettings(aSettings) {}
+
+  /// @brief Upper bound that the configuration declares.
+  void configure(std::uint32_t aSlots);
+
+  /// @brief The upstream has started again, or is about to.
+  void restart(base::Time aNow);
+
+  /// @brief The upstream turned out to have been running before; growth may begin.
+  void endColdStart() { mIsCold = false; }
+
+  /// @brief An answer came after aLatency; aLoad requests were in progress with it.
+  void onAnswer(base::Time aNow, base::Duration aLatency, std::uint32_t aLoad);
+
+  /// @brief Requests at once.
+  std::uint32_t value() const { return mValue; }
+
+  /// @brief True during a cold start.
+  bool isCold() const { return mIsCold; }
+
+  /// @brief Usual answer time; zero until the first answer.
+  base::Duration usualLatency() const { return base::Duration(static_cast<long>(mUsual)); }
+
+private:
+  void closeWindow(base::Time aNow);
+  void grow();
+  void fall(double aRatio);
+
+  LimitSettings mSettings;
+  std::uint32_t mSlots = 1;
+  std::uint32_t mValue = 1;
+  bool mIsCold = true;
+  bool mHasStart = false;
+  base::Time mColdUntil;
+  base::Time mWindowEnd;
+  double mUsual = 0; ///< nanoseconds
+  double mSum = 0;   ///< nanoseconds, of this window
+  std::uint32_t mSamples = 0;
+  std::uint32_t mPeak = 0; ///< highest load of this window
+};
+
+} // namespace cornelcross::admission
--- /dev/null
+++ b/src/admission/service_load.cpp
@@ -0,0 +1,36 @@
+#include "admission/service_load.hpp"
+
+#include <algorithm>
+
+namespace cornelcross::admission {
+
+namespace {
+
+/// A report that is older says nothing.
+constexpr base::Duration kFresh = std::chrono::seconds(2);
+
+} // namespace
+
+void ServiceLoad::learn(base::Time aNow, const wire::LoadReport& aReport)
+{
+  mEntries[aReport.mUpstream] = { aReport, aNow };
+}
+
+double ServiceLoad::share(base::Time aNow, double aLoad, std::uint32_t aLimit) const
+{
+  double load = std::min<double>(aLoad, aLimit);
+  double limit = aLimit;
+  bool isKnown = false;
+  for (const auto& [upstream, entry] : mEntries) {
+    if (aNow - entry.mReceived > kFresh) {
+      continue;
+    }
+    isKnown = true;
+    const double told = static_cast<double>(entry.mReport.mMeanLoad) / wire::kLoadUnit;
+    load += std::min<double>(told, entry.mReport.mLimit);
+    limit += entry.mReport.mLimit;
+  }
+  return isKnown ? load / limit * aLimit : aLimit;
+}
+
+} // namespace cornelcross::admission
--- a/src/agent/actions.cpp
+++ b/src/agent/actions.cpp
@@ -15,6 +15,8 @@
       return "zone_out";
     case DropReason::kNoOwner:
       return "no_owner";
+    case DropReason::kHeldAlready:
+      return "held_already";
     case DropReason::kNoRecord:
       return "no_record";
   }
--- a/src/agent/actions.hpp
+++ b/src/agent/actions.hpp
@@ -16,6 +16,7 @@
   kForeignService, ///< addressed to a service that the agent's upstream doesn't belong to
   kZoneOut,        ///< the agent's availability zone is out
   kNoOwner,        ///< no candidate owns the flow, but not every one could say so
+  kHeldAlready,    ///< retransmission of a packet that waits for room
   kNoRecord,       ///< a SYN-ACK of the upstream for a flow without a record
 };
 
--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission_settings.hpp"
 #include "base/time.hpp"
 #include "flow/endpoint.hpp"
 
@@ -10,7 +11,7 @@
 {
   flow::Endpoint mSelf;             ///< this agent, as the configuration lists it
   std::uint16_t mMaxSegment = 1380; ///< bytes; upper bound for the MSS option
-  std::uint32_t mMaxFlows = 2000;   ///< connections that the upstream holds at most
+  admission::AdmissionSettings mAdmission = {};
   base::Duration mHalfOpenTimeout = std::chrono::seconds(30);
   base::Duration mClosingTimeout = std::chrono::seconds(60);
   base::Duration mIdleTimeout = std::chrono::hours(12);
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -18,6 +18,14 @@
   return !aRecord.mKnowsUpstreamNext || aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
 }
 
+/// True if the packet carries data that the agent has not seen before.
+bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
+  return aPacket.mPayloadLength > 0 &&
+         (!aRecord.mKnowsCallerNext || static_cast<std::int32_t>(end - aRecord.mCallerNext) > 0);
+}
+
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
 {
   return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
@@ -29,30 +37,50 @@
 Decisions::Decisions(const AgentSettings& aSettings)
   : mSettings(aSettings)
   , mConfiguration(std::make_shared<const config::Configuration>())
-  , mAdmission(aSettings.mMaxFlows)
+  , mAdmission(aSettings.mAdmission)
+  , mPending(aSettings.mAdmission.mMaxHeld, aSettings.mAdmission.mMaxHeld)
 {
 }
 
-Actions Decisions::apply(base::Time, config::ConfigurationPtr aConfiguration)
+Actions Decisions::apply(base::Time aNow, config::ConfigurationPtr aConfiguration)
 {
   if (aConfiguration->mRevision < revision()) {
     return {};
   }
   mConfiguration = std::move(aConfiguration);
+  const std::uint64_t identity = mUpstream ? mUpstream->mIdentity : 0;
   mUpstream.reset();
+  mPeers.clear();
+  mPeerIdentities.clear();
+  mAdmission.forgetReports();
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
       if (upstream.mAgent == mSettings.mSelf) {
         mUpstream = upstream;
         mServiceAddress = service.mAddress;
         mService = config::upstreamIdentity(name, "");
-        mAdmission.configure(upstream.mSlots);
+        mAdmission.configure(
+          aNow, upstream.mSlots, upstream.mState == config::UpstreamState::kJoining);
+        collectPeers(service);
       }
     }
   }
+  if (mUpstream && mUpstream->mIdentity != identity) {
+    mAdmission.restart(aNow);
+  }
   return {};
 }
 
+void Decisions::collectPeers(const config::Service& aService)
+{
+  for (const auto& upstream : aService.mUpstreams) {
+    if (upstream.mAgent != mSettings.mSelf && mConfiguration->mayOpen(upstream)) {
+      mPeers.push_back(upstream.mAgent);
+      mPeerIdentities.insert(upstream.mIdentity);
+    }
+  }
+}
+
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
 {
   const auto packet = flow::TcpPacket::parse(aForward.mPacket);
@@ -98,12 +126,38 @@
 
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
-  const bool isEligible = mConfiguration->mayOpen(*mUpstream);
-  if (!isEligible || mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
-    return pass(aPacket, std::move(aForward));
+  if (mHeldFlows.count(aPacket.keyFromCaller()) > 0) {
+    return { DropPacket{ DropReason::kHeldAlready } };
+  }
+  admission::Offer offer = mAdmission.offer(aNow, mConfiguration->mayOpen(*mUpstream));
+  offer.mRoom = mPending.empty() ? offer.mRoom : std::uint16_t{ 0 };
+  const admission::Step step =
+    admission::decide(aForward.mWalk,
+                      aForward.mPosition,
+                      static_cast<std::uint8_t>(aForward.mCandidates.size()),
+                      offer);
+  if (const auto* pass = std::get_if<admission::PassTo>(&step)) {
+    aForward.mPosition = pass->mPosition;
+    aForward.mWalk = pass->mWalk;
+    const flow::Endpoint agent = aForward.mCandidates[pass->mPosition];
+    return { SendMessage{ agent, std::move(aForward) } };
+  }
+  if (std::holds_alternative<admission::Hold>(step)) {
+    return hold(aNow, aPacket, std::move(aForward));
+  }
+  if (std::holds_alternative<admission::Refuse>(step)) {
+    return endChain(aPacket, aForward);
   }
+  return admit(aNow, aPacket, std::move(aForward));
+}
+
+Actions Decisions::admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
+{
   FlowRecord record;
   record.mCallerInitial = aPacket.mSequence;
+  record.mIsExpected = true;
+  record.mCallerNext = aPacket.mSequence + 1;
+  record.mKnowsCallerNext = true;
   record.mLastSeen = aNow;
   mFlows.insert(aPacket.keyFromCaller(), record);
   mAdmission.flowOpened(aNow);
@@ -149,6 +203,9 @@
   } else if (!fits) {
     return pass(aPacket, std::move(aForward));
   }
+  if (mustWait(*record, aPacket)) {
+    return holdRequest(aNow, *record, aPacket, std::move(aForward));
+  }
   return deliver(aNow, *record, aPacket, aForward);
 }
 
@@ -182,19 +239,29 @@
                                    FlowRecord& aRecord,
                                    const flow::TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy) {
+  if (!isNewPayload(aRecord, aPacket)) {
+    return;
+  }
+  aRecord.mCallerNext = aPacket.nextSequence();
+  aRecord.mKnowsCallerNext = true;
+  if (aRecord.mIsBusy || aRecord.mIsOneWay || aRecord.mIsHeld) {
     return;
   }
   aRecord.mIsBusy = true;
   aRecord.mBusySince = aNow;
-  mAdmission.requestStarted(aNow);
+  mAdmission.requestStarted(aNow, aRecord.mIsExpected);
+  aRecord.mIsExpected = false;
 }
 
 void Decisions::trackUpstreamPayload(base::Time aNow,
                                      FlowRecord& aRecord,
                                      const flow::TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0 || !aRecord.mIsBusy) {
+  if (aPacket.mPayloadLength == 0) {
+    return;
+  }
+  aRecord.mIsOneWay = false;
+  if (!aRecord.mIsBusy) {
     return;
   }
   aRecord.mIsBusy = false;
@@ -269,7 +336,7 @@
     FlowRecord adopted;
     adopted.mState = FlowState::kEstablished;
     record = &mFlows.insert(key, adopted);
-    mAdmission.flowOpened(aNow);
+    mAdmission.flowAdopted(aNow);
     actions.emplace_back(
       telemetry::Event{ telemetry::EventKind::kFlowAdopted, { { "flow", key.toString() } } });
   }
@@ -282,8 +349,12 @@
     return actions;
   }
   if (packet->has(flow::kRst)) {
+    if (record->mIsBusy || !record->mIsAnswered) {
+      mAdmission.upstreamReset(aNow);
+    }
     actions.emplace_back(close(aNow, key, *record, "upstream_reset"));
     mFlows.erase(key);
+    release(aNow, actions);
     return actions;
   }
   const std::uint32_t next = packet->nextSequence();
@@ -297,6 +368,7 @@
   if (record->mHasCallerFin && record->mHasUpstreamFin) {
     record->mState = FlowState::kClosing;
   }
+  release(aNow, actions);
   return actions;
 }
 
@@ -308,6 +380,9 @@
   if (aRecord.mIsBusy) {
     mAdmission.requestAbandoned(aNow);
   }
+  if (aRecord.mIsExpected) {
+    mAdmission.expectationEnded(aNow);
+  }
   mAdmission.flowClosed(aNow);
   return { telemetry::EventKind::kFlowClosed,
            { { "flow", aFlow.toString() },
@@ -332,8 +407,9 @@
 Actions Decisions::onTick(base::Time aNow)
 {
   Actions actions;
-  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
     if (!isExpired(aNow, aRecord)) {
+      updateLoad(aNow, aRecord);
       return false;
     }
     actions.emplace_back(close(aNow, aFlow, aRecord, "expired"));
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/admission_control.hpp"
+#include "admission/pending_work.hpp"
 #include "agent/actions.hpp"
 #include "agent/agent_settings.hpp"
 #include "agent/flow_table.hpp"
@@ -8,6 +9,7 @@
 #include "flow/run_verdict.hpp"
 
 #include <optional>
+#include <unordered_set>
 
 /// @brief The agent: owns the flows of the upstream beside it.
 namespace cornelcross::agent {
@@ -28,9 +30,18 @@
   /// @brief An IP packet that the upstream sent to a caller.
   Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
 
+  /// @brief Another agent of the service told its load.
+  void onLoadReport(base::Time aNow, const wire::LoadReport& aReport);
+
   /// @brief Expires records; called about once a second.
   Actions onTick(base::Time aNow);
 
+  /// @brief Releases or refuses what waits; called about every 20 ms.
+  Actions onHoldTimer(base::Time aNow);
+
+  /// @brief Tells other agents of the service the load; called about every 250 ms.
+  Actions onReportTimer(base::Time aNow);
+
   /// @brief Revision in force.
   std::uint64_t revision() const { return mConfiguration->mRevision; }
 
@@ -40,6 +51,9 @@
   /// @brief Limits and load.
   const admission::AdmissionControl& admission() const { return mAdmission; }
 
+  /// @brief New flows and requests that wait.
+  const admission::PendingWork<wire::Forward>& pending() const { return mPending; }
+
   /// @brief Flows held.
   const FlowTable& flows() const { return mFlows; }
 
@@ -47,6 +61,19 @@
   Actions onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions hold(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions refuse(const wire::Forward& aForward);
+  bool mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const;
+  Actions holdRequest(base::Time aNow,
+                      FlowRecord& aRecord,
+                      const flow::TcpPacket& aPacket,
+                      wire::Forward aForward);
+  void release(base::Time aNow, Actions& aActions);
+  Actions releaseRequest(base::Time aNow, const wire::Forward& aForward);
+  Actions releaseFlow(base::Time aNow, wire::Forward aForward);
+  void collectPeers(const config::Service& aService);
+  void updateLoad(base::Time aNow, FlowRecord& aRecord);
   Actions deliver(base::Time aNow,
                   FlowRecord& aRecord,
                   const flow::TcpPacket& aPacket,
@@ -68,6 +95,11 @@
   flow::Endpoint mServiceAddress;
   std::uint64_t mService = 0;
   admission::AdmissionControl mAdmission;
+  admission::PendingWork<wire::Forward> mPending;
+  std::unordered_set<flow::FlowKey, flow::FlowKeyHash> mHeldFlows;
+  std::vector<flow::Endpoint> mPeers; ///< the other agents of the service
+  std::unordered_set<std::uint64_t> mPeerIdentities;
+  std::size_t mNextPeer = 0;
   FlowTable mFlows;
 };
 
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -24,6 +24,12 @@
   bool mHasCallerFin = false;       ///< the caller sent FIN
   bool mHasUpstreamFin = false;     ///< the upstream sent FIN
   bool mKnowsUpstreamNext = false;  ///< mUpstreamNext is valid
+  bool mIsExpected = false;         ///< the first request since admission was not seen
+  bool mIsHeld = false;             ///< the packet at mHeldSequence waits for room
+  bool mIsOneWay = false;           ///< the upstream left a request unanswered; none counts as load
+  bool mKnowsCallerNext = false;    ///< mCallerNext is valid
+  std::uint32_t mCallerNext = 0;    ///< highest sequence number that the caller has sent, plus one
+  std::uint32_t mHeldSequence = 0;  ///< first sequence number of the request that waits
   std::uint32_t mCallerInitial = 0; ///< the caller's initial sequence number
   std::uint32_t mUpstreamNext = 0; ///< highest sequence number that the upstream has sent, plus one
   base::Time mLastSeen;            ///< last packet in either direction
--- a/src/agent/flow_table.cpp
+++ b/src/agent/flow_table.cpp
@@ -18,11 +18,11 @@
   mRecords.erase(aFlow);
 }
 
-void FlowTable::eraseIf(
-  const std::function<bool(const flow::FlowKey&, const FlowRecord&)>& aIsExpired)
+void FlowTable::eraseIf(const std::function<bool(const flow::FlowKey&, FlowRecord&)>& aIsExpired)
 {
-  std::erase_if(mRecords,
-                [&](const auto& aEntry) { return aIsExpired(aEntry.first, aEntry.second); });
+  for (auto entry = mRecords.begin(); entry != mRecords.end();) {
+    entry = aIsExpired(entry->first, entry->second) ? mRecords.erase(entry) : std::next(entry);
+  }
 }
 
 } // namespace cornelcross::agent
--- a/src/agent/flow_table.hpp
+++ b/src/agent/flow_table.hpp
@@ -22,7 +22,7 @@
   void erase(const flow::FlowKey& aFlow);
 
   /// @brief Removes each record for which aIsExpired holds. @note O(n)
-  void eraseIf(const std::function<bool(const flow::FlowKey&, const FlowRecord&)>& aIsExpired);
+  void eraseIf(const std::function<bool(const flow::FlowKey&, FlowRecord&)>& aIsExpired);
 
   /// @brief Records held.
   std::size_t size() const { return mRecords.size(); }
--- /dev/null
+++ b/src/agent/held_work.cpp
@@ -0,0 +1,181 @@
+#include "agent/decisions.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+/// The part of the decisions that lets new flows and requests wait for room.
+namespace cornelcross::agent {
+
+namespace {
+
+/// An admitted flow whose caller stays silent so long no longer counts as load.
+constexpr base::Duration kExpectation = std::chrono::seconds(1);
+
+/// A request without an answer after this time is no request: the application only sends.
+constexpr base::Duration kAnswerTimeout = std::chrono::seconds(10);
+
+/// Agents that are told the load at once. In a larger service they take turns, so that the cost
+/// stays below 3 KB/s.
+constexpr std::size_t kReportFanout = 8;
+
+void append(Actions& aActions, Actions aMore)
+{
+  aActions.insert(
+    aActions.end(), std::make_move_iterator(aMore.begin()), std::make_move_iterator(aMore.end()));
+}
+
+} // namespace
+
+Actions Decisions::hold(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
+{
+  mHeldFlows.insert(aPacket.keyFromCaller());
+  const std::size_t workspace = mConfiguration->workspaceOf(aPacket.mSource.mAddress);
+  const auto evicted = mPending.addFlow(aNow, workspace, std::move(aForward));
+  return evicted ? refuse(*evicted) : Actions{};
+}
+
+Actions Decisions::refuse(const wire::Forward& aForward)
+{
+  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  mHeldFlows.erase(packet->keyFromCaller());
+  return endChain(*packet, aForward);
+}
+
+// Only the first packet of a request waits. What follows goes through: the upstream's TCP keeps it
+// until the first packet fills the hole (RFC 9293, section 3.10.7.4).
+bool Decisions::mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const
+{
+  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy || aRecord.mIsOneWay || aRecord.mIsExpected ||
+      aPacket.has(flow::kRst)) {
+    return false;
+  }
+  if (aRecord.mIsHeld) {
+    return static_cast<std::int32_t>(aPacket.mSequence - aRecord.mHeldSequence) <= 0;
+  }
+  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
+  const bool isRetransmission =
+    aRecord.mKnowsCallerNext && static_cast<std::int32_t>(end - aRecord.mCallerNext) <= 0;
+  return !isRetransmission && (mAdmission.room() == 0 || mPending.requests() > 0);
+}
+
+Actions Decisions::holdRequest(base::Time aNow,
+                               FlowRecord& aRecord,
+                               const flow::TcpPacket& aPacket,
+                               wire::Forward aForward)
+{
+  aRecord.mLastSeen = aNow;
+  if (aRecord.mIsHeld) {
+    return { DropPacket{ DropReason::kHeldAlready } };
+  }
+  aRecord.mIsHeld = true;
+  aRecord.mHeldSequence = aPacket.mSequence;
+  const std::size_t workspace = mConfiguration->workspaceOf(aPacket.mSource.mAddress);
+  const auto evicted = mPending.addRequest(aNow, workspace, std::move(aForward));
+  if (evicted) {
+    // The caller's TCP retransmits it.
+    const auto packet = flow::TcpPacket::parse(evicted->mPacket);
+    FlowRecord* record = mFlows.find(packet->keyFromCaller());
+    if (record != nullptr) {
+      record->mIsHeld = false;
+    }
+  }
+  return {};
+}
+
+void Decisions::release(base::Time aNow, Actions& aActions)
+{
+  while (mAdmission.room() > 0 && !mPending.empty()) {
+    if (auto request = mPending.nextRequest()) {
+      append(aActions, releaseRequest(aNow, *request));
+    } else if (auto flow = mPending.nextFlow()) {
+      append(aActions, releaseFlow(aNow, std::move(*flow)));
+    }
+  }
+}
+
+Actions Decisions::releaseRequest(base::Time aNow, const wire::Forward& aForward)
+{
+  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  FlowRecord* record = mFlows.find(packet->keyFromCaller());
+  const bool waits =
+    record != nullptr && record->mIsHeld && record->mHeldSequence == packet->mSequence;
+  if (!waits) {
+    return {};
+  }
+  record->mIsHeld = false;
+  // What followed the held packet has gone through and moved mCallerNext; the request is new still.
+  record->mKnowsCallerNext = false;
+  const std::uint32_t next = record->mCallerNext;
+  Actions actions = deliver(aNow, *record, *packet, aForward);
+  if (static_cast<std::int32_t>(next - record->mCallerNext) > 0) {
+    record->mCallerNext = next;
+  }
+  return actions;
+}
+
+Actions Decisions::releaseFlow(base::Time aNow, wire::Forward aForward)
+{
+  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  if (!mConfiguration->mayOpen(*mUpstream)) {
+    return refuse(aForward);
+  }
+  mHeldFlows.erase(packet->keyFromCaller());
+  return admit(aNow, *packet, std::move(aForward));
+}
+
+Actions Decisions::onHoldTimer(base::Time aNow)
+{
+  Actions actions;
+  if (mPending.empty()) {
+    return actions;
+  }
+  if (!mUpstream || !mConfiguration->mayOpen(*mUpstream)) {
+    for (const wire::Forward& forward : mPending.takeFlowsOlderThan(base::Time::max())) {
+      append(actions, refuse(forward));
+    }
+  }
+  for (const wire::Forward& forward :
+       mPending.takeFlowsOlderThan(aNow - mSettings.mAdmission.mHold)) {
+    append(actions, refuse(forward));
+  }
+  if (mUpstream && mConfiguration->mayReceive(*mUpstream)) {
+    release(aNow, actions);
+  }
+  return actions;
+}
+
+void Decisions::updateLoad(base::Time aNow, FlowRecord& aRecord)
+{
+  if (aRecord.mIsExpected && aNow - aRecord.mLastSeen > kExpectation) {
+    aRecord.mIsExpected = false;
+    mAdmission.expectationEnded(aNow);
+  }
+  if (aRecord.mIsBusy && aNow - aRecord.mBusySince > kAnswerTimeout) {
+    aRecord.mIsBusy = false;
+    aRecord.mIsOneWay = true;
+    mAdmission.requestAbandoned(aNow);
+  }
+}
+
+void Decisions::onLoadReport(base::Time aNow, const wire::LoadReport& aReport)
+{
+  if (mPeerIdentities.count(aReport.mUpstream) > 0) {
+    mAdmission.learn(aNow, aReport);
+  }
+}
+
+Actions Decisions::onReportTimer(base::Time aNow)
+{
+  Actions actions;
+  if (!mUpstream || mPeers.empty() || !mConfiguration->mayOpen(*mUpstream)) {
+    return actions;
+  }
+  const wire::LoadReport report = mAdmission.report(aNow, mUpstream->mIdentity);
+  for (std::size_t i = 0; i < std::min(kReportFanout, mPeers.size()); ++i) {
+    actions.emplace_back(SendMessage{ mPeers[mNextPeer++ % mPeers.size()], report });
+  }
+  return actions;
+}
+
+} // namespace cornelcross::agent
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -25,7 +25,7 @@
   settings.mListen = check.endpoint("listen", FLAGS_listen);
   settings.mAgent.mSelf =
     FLAGS_advertise.empty() ? settings.mListen : check.endpoint("advertise", FLAGS_advertise);
-  settings.mAgent.mMaxFlows = FLAGS_max_flows;
+  settings.mAgent.mAdmission.mMaxFlows = FLAGS_max_flows;
   settings.mAgent.mMaxSegment = static_cast<std::uint16_t>(FLAGS_max_segment);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
   settings.mConfigService = check.endpoint("config_service", FLAGS_config_service);
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr base::Duration kTick = std::chrono::seconds(1);
+constexpr base::Duration kHoldTick = std::chrono::milliseconds(20);
+constexpr base::Duration kReportInterval = std::chrono::milliseconds(250);
 
 bool isFlowEvent(const telemetry::Event& aEvent)
 {
@@ -48,6 +50,14 @@
     perform(mDecisions.onTick(net::MainLoop::now()));
     mSocket.flush();
   });
+  mLoop.every(kHoldTick, [this] {
+    perform(mDecisions.onHoldTimer(net::MainLoop::now()));
+    mSocket.flush();
+  });
+  mLoop.every(kReportInterval, [this] {
+    perform(mDecisions.onReportTimer(net::MainLoop::now()));
+    mSocket.flush();
+  });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
   mConfig.start();
@@ -80,6 +90,8 @@
   auto& frame = std::get<wire::Frame>(decoded);
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
+  } else if (const auto* report = std::get_if<wire::LoadReport>(&frame.mMessage)) {
+    mDecisions.onLoadReport(net::MainLoop::now(), *report);
   }
 }
 
@@ -137,6 +149,9 @@
            { "state", upstream ? std::string(toString(upstream->mState)) : "unlisted" },
            { "flows", mDecisions.flows().size() },
            { "busy", admission.busy() },
+           { "held_flows", mDecisions.pending().flows() },
+           { "held_requests", mDecisions.pending().requests() },
+           { "cold", admission.isCold() },
            { "limit", admission.limit() } };
 }
 
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -22,6 +22,9 @@
   /// @brief True unless operators have taken the zone out. Unlisted zones are in.
   bool zoneIsIn(const std::string& aZone) const;
 
+  /// @brief Index of the workspace that an address belongs to, plus one; 0 if there is none.
+  std::size_t workspaceOf(flow::Ipv4Address aAddress) const;
+
   /// @brief True if the upstream may receive packets of established flows.
   bool mayReceive(const Upstream& aUpstream) const { return zoneIsIn(aUpstream.mZone); }
 
--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flow/packet_edit.hpp"
+#include "wire/walk.hpp"
 
 namespace cornelcross::wire {
 
@@ -12,6 +13,7 @@
   std::uint8_t mPosition = 0;              ///< index of the receiver in mCandidates
   bool mIsComplete = false;                ///< the candidates are all the upstreams of the service
   bool mIsUnanimous = true;                ///< every candidate before mPosition denied the flow
+  Walk mWalk;                              ///< where the flow may open; for a SYN only
   std::vector<flow::Endpoint> mCandidates; ///< agents, most likely owner first
   flow::Bytes mPacket;                     ///< the IP packet, unchanged
 
@@ -20,7 +22,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mIngress, mService, mPosition, mIsComplete, mIsUnanimous, mCandidates);
+    aArchive(mIngress, mService, mPosition, mIsComplete, mIsUnanimous, mWalk, mCandidates);
   }
 };
 
--- a/src/wire/load_report.hpp
+++ b/src/wire/load_report.hpp
@@ -5,6 +5,9 @@
 
 namespace cornelcross::wire {
 
+/// @brief Parts of one request in which a mean load is told.
+inline constexpr std::uint32_t kLoadUnit = 1000;
+
 /// @brief Load of one upstream, told by its agent to the other agents of the service.
 struct LoadReport
 {
@@ -12,13 +15,14 @@
   std::uint32_t mBusy = 0;     ///< flows with a request in progress
   std::uint32_t mLimit = 0;    ///< requests that the agent admits at once now
   std::uint32_t mFlows = 0;    ///< open flows
+  std::uint32_t mMeanLoad = 0; ///< mean of the requests in progress lately, in 1/kLoadUnit
 
   auto operator<=>(const LoadReport&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mUpstream, mBusy, mLimit, mFlows);
+    aArchive(mUpstream, mBusy, mLimit, mFlows, mMeanLoad);
   }
 };
 
--- /dev/null
+++ b/tests/unit/test_fair_queue.cpp
@@ -0,0 +1,50 @@
+#include "admission/fair_queue.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+
+BOOST_AUTO_TEST_SUITE(fair_queue)
+
+BOOST_AUTO_TEST_CASE(lets_workspaces_take_turns_whatever_the_length_of_their_queues)
+{
+  admission::FairQueue<int> queue(100);
+  for (int i = 0; i < 10; ++i) {
+    queue.push({}, 1, 100 + i);
+  }
+  queue.push({}, 2, 200);
+  queue.push({}, 2, 201);
+  std::vector<int> order;
+  order.reserve(5);
+  for (int i = 0; i < 5; ++i) {
+    order.push_back(*queue.pop());
+  }
+  const std::vector<int> expected{ 100, 200, 101, 201, 102 };
+  BOOST_TEST(order == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(takes_room_from_the_longest_queue_when_it_is_full)
+{
+  admission::FairQueue<int> queue(3);
+  queue.push({}, 1, 100);
+  queue.push({}, 1, 101);
+  queue.push({}, 1, 102);
+  const auto evicted = queue.push({}, 2, 200);
+  BOOST_REQUIRE(evicted.has_value());
+  BOOST_TEST(*evicted == 102);
+  BOOST_TEST(queue.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(gives_up_what_is_older_than_a_time)
+{
+  admission::FairQueue<int> queue(10);
+  const base::Time start{ std::chrono::seconds(5) };
+  queue.push(start, 1, 100);
+  queue.push(start + std::chrono::seconds(1), 1, 101);
+  const auto expired = queue.takeOlderThan(start + std::chrono::milliseconds(1));
+  BOOST_REQUIRE(expired.size() == 1U);
+  BOOST_TEST(expired.front() == 100);
+  BOOST_TEST(queue.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
