--- /dev/null
+++ b/bench/policy/admission_policy.cpp
@@ -0,0 +1,156 @@
+#include "policy/admission_policy.hpp"
+
+namespace cornelcross::bench {
+
+namespace {
+
+/// One way between two availability zones.
+constexpr base::Duration kHop = std::chrono::microseconds(3500);
+
+} // namespace
+
+AdmissionPolicy::AdmissionPolicy(Service& aService,
+                                 const ReportChannel& aChannel,
+                                 const admission::AdmissionSettings& aSettings)
+  : Policy(aService), mChannel(aChannel), mSettings(aSettings)
+{
+  for (std::size_t i = 0; i < aService.mUpstreams.size(); ++i) {
+    mAgents.emplace_back(aSettings);
+    mAgents.back().mControl.configure(aService.mEvents.now(), aService.mSlots, false);
+  }
+  report();
+}
+
+void AdmissionPolicy::open(const FlowPtr& aFlow)
+{
+  step(aFlow, 0, {});
+}
+
+void AdmissionPolicy::step(const FlowPtr& aFlow, std::uint8_t aPosition, const wire::Walk& aWalk)
+{
+  const std::size_t index = aFlow->mRanks[aPosition];
+  Agent& agent = mAgents[index];
+  admission::Offer offer =
+    agent.mControl.offer(mService.mEvents.now(), mService.mIsEligible[index]);
+  offer.mRoom = agent.mPending.empty() ? offer.mRoom : std::uint16_t{ 0 };
+  const auto count = static_cast<std::uint8_t>(aFlow->mRanks.size());
+  const admission::Step next = admission::decide(aWalk, aPosition, count, offer);
+  if (const auto* pass = std::get_if<admission::PassTo>(&next)) {
+    mService.mEvents.after(
+      kHop, [this, aFlow, pass = *pass] { step(aFlow, pass.mPosition, pass.mWalk); });
+  } else if (std::holds_alternative<admission::Admit>(next)) {
+    admit(aFlow, index);
+  } else if (std::holds_alternative<admission::Hold>(next)) {
+    const auto evicted = agent.mPending.addFlow(mService.mEvents.now(), aFlow->mWorkspace, aFlow);
+    if (evicted) {
+      mService.mRefuse(*evicted);
+    }
+  } else {
+    mService.mRefuse(aFlow);
+  }
+}
+
+void AdmissionPolicy::admit(const FlowPtr& aFlow, std::size_t aAgent)
+{
+  aFlow->mIsExpected = true;
+  mAgents[aAgent].mControl.flowOpened(mService.mEvents.now());
+  mService.mAdmit(aFlow, aAgent);
+}
+
+void AdmissionPolicy::request(const FlowPtr& aFlow)
+{
+  Agent& agent = mAgents[aFlow->mUpstream];
+  if (!aFlow->mIsExpected && (agent.mControl.room() == 0 || agent.mPending.requests() > 0)) {
+    agent.mPending.addRequest(mService.mEvents.now(), aFlow->mWorkspace, aFlow);
+    return;
+  }
+  start(aFlow);
+}
+
+void AdmissionPolicy::start(const FlowPtr& aFlow)
+{
+  mAgents[aFlow->mUpstream].mControl.requestStarted(mService.mEvents.now(), aFlow->mIsExpected);
+  aFlow->mIsExpected = false;
+  aFlow->mIsBusy = true;
+  mService.mStart(aFlow);
+}
+
+void AdmissionPolicy::answered(const FlowPtr& aFlow, base::Duration aLatency)
+{
+  mAgents[aFlow->mUpstream].mControl.requestAnswered(mService.mEvents.now(), aLatency);
+  release(aFlow->mUpstream);
+}
+
+void AdmissionPolicy::closed(const FlowPtr& aFlow, bool aIsReset)
+{
+  admission::AdmissionControl& control = mAgents[aFlow->mUpstream].mControl;
+  if (aFlow->mIsExpected) {
+    control.expectationEnded(mService.mEvents.now());
+  }
+  if (aFlow->mIsBusy) {
+    control.requestAbandoned(mService.mEvents.now());
+  }
+  if (aIsReset) {
+    control.upstreamReset(mService.mEvents.now());
+  }
+  control.flowClosed(mService.mEvents.now());
+  release(aFlow->mUpstream);
+}
+
+void AdmissionPolicy::release(std::size_t aAgent)
+{
+  Agent& agent = mAgents[aAgent];
+  while (agent.mControl.room() > 0 && !agent.mPending.empty()) {
+    if (const auto request = agent.mPending.nextRequest()) {
+      start(*request);
+    } else if (const auto flow = agent.mPending.nextFlow()) {
+      admit(*flow, aAgent);
+    }
+  }
+}
+
+void AdmissionPolicy::tick()
+{
+  for (std::size_t i = 0; i < mAgents.size(); ++i) {
+    const base::Time oldest = mService.mEvents.now() - mSettings.mHold;
+    for (const FlowPtr& flow : mAgents[i].mPending.takeFlowsOlderThan(oldest)) {
+      mService.mRefuse(flow);
+    }
+    release(i);
+  }
+}
+
+std::size_t AdmissionPolicy::held() const
+{
+  std::size_t count = 0;
+  for (const Agent& agent : mAgents) {
+    count += agent.mPending.flows();
+  }
+  return count;
+}
+
+void AdmissionPolicy::reconfigured()
+{
+  for (std::size_t i = 0; i < mAgents.size(); ++i) {
+    mAgents[i].mControl.configure(
+      mService.mEvents.now(), mService.mSlots, mService.mUpstreams[i].isCold());
+  }
+}
+
+void AdmissionPolicy::report()
+{
+  std::uniform_real_distribution<> chance;
+  for (std::size_t from = 0; from < mAgents.size(); ++from) {
+    const auto message = mAgents[from].mControl.report(mService.mEvents.now(), from);
+    for (std::size_t to = 0; to < mAgents.size(); ++to) {
+      if (to != from && mService.mIsEligible[from] && chance(mService.mRandom) >= mChannel.mLoss) {
+        mService.mEvents.after(mChannel.mDelay, [this, to, message] {
+          mAgents[to].mControl.learn(mService.mEvents.now(), message);
+        });
+      }
+    }
+  }
+  mService.mEvents.after(mChannel.mInterval, [this] { report(); });
+}
+
+} // namespace cornelcross::bench
--- /dev/null
+++ b/bench/policy/policy.cpp
@@ -0,0 +1,32 @@
+#include "policy/policy.hpp"
+
+#include "policy/admission_policy.hpp"
+#include "policy/baselines.hpp"
+
+namespace cornelcross::bench {
+
+std::unique_ptr<Policy> makePolicy(const std::string& aName,
+                                   Service& aService,
+                                   const ReportChannel& aChannel)
+{
+  admission::AdmissionSettings settings;
+  if (aName == "rank1") {
+    return std::make_unique<FirstRank>(aService);
+  }
+  if (aName == "least-of-two") {
+    return std::make_unique<LeastOfTwo>(aService, aChannel);
+  }
+  if (aName == "lookup-table") {
+    return std::make_unique<LookupTable>(aService);
+  }
+  if (aName == "admission") {
+    return std::make_unique<AdmissionPolicy>(aService, aChannel, settings);
+  }
+  if (aName == "admission-no-hold") {
+    settings.mHold = base::Duration::zero();
+    return std::make_unique<AdmissionPolicy>(aService, aChannel, settings);
+  }
+  return nullptr;
+}
+
+} // namespace cornelcross::bench
