--- a/bench/policy/admission_policy.cpp
+++ b/bench/policy/admission_policy.cpp
@@ -1,4 +1,4 @@
-#include "policy/admission_policy.hpp"
+#include "bench/policy/admission_policy.hpp"
 
 namespace cornelcross::bench {
 
--- a/bench/policy/admission_policy.hpp
+++ b/bench/policy/admission_policy.hpp
@@ -2,7 +2,7 @@
 
 #include "admission/admission_control.hpp"
 #include "admission/pending_work.hpp"
-#include "policy/policy.hpp"
+#include "bench/policy/policy.hpp"
 
 namespace cornelcross::bench {
 
--- a/bench/policy/baselines.cpp
+++ b/bench/policy/baselines.cpp
@@ -1,4 +1,4 @@
-#include "policy/baselines.hpp"
+#include "bench/policy/baselines.hpp"
 
 #include "flow/flow_key.hpp"
 
--- a/bench/policy/baselines.hpp
+++ b/bench/policy/baselines.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "policy/policy.hpp"
+#include "bench/policy/policy.hpp"
 
 namespace cornelcross::bench {
 
--- a/bench/policy/experiment.hpp
+++ b/bench/policy/experiment.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "bench/policy/measures.hpp"
+#include "bench/policy/policy.hpp"
+#include "bench/policy/workload.hpp"
 #include "config/service.hpp"
-#include "policy/measures.hpp"
-#include "policy/policy.hpp"
-#include "policy/workload.hpp"
 
 #include <set>
 
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -1,4 +1,4 @@
-#include "policy/experiment.hpp"
+#include "bench/policy/experiment.hpp"
 
 #include <algorithm>
 #include <fstream>
--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -1,4 +1,4 @@
-#include "policy/measures.hpp"
+#include "bench/policy/measures.hpp"
 
 #include <algorithm>
 
--- a/bench/policy/policy.cpp
+++ b/bench/policy/policy.cpp
@@ -1,7 +1,7 @@
-#include "policy/policy.hpp"
+#include "bench/policy/policy.hpp"
 
-#include "policy/admission_policy.hpp"
-#include "policy/baselines.hpp"
+#include "bench/policy/admission_policy.hpp"
+#include "bench/policy/baselines.hpp"
 
 namespace cornelcross::bench {
 
--- a/bench/policy/policy.hpp
+++ b/bench/policy/policy.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "policy/service.hpp"
+#include "bench/policy/service.hpp"
 
 #include <memory>
 #include <string>
--- a/bench/policy/service.hpp
+++ b/bench/policy/service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "policy/flow.hpp"
-#include "policy/upstream_queue.hpp"
+#include "bench/policy/flow.hpp"
+#include "bench/policy/upstream_queue.hpp"
 
 #include <random>
 
--- a/bench/policy/upstream_queue.cpp
+++ b/bench/policy/upstream_queue.cpp
@@ -1,4 +1,4 @@
-#include "policy/upstream_queue.hpp"
+#include "bench/policy/upstream_queue.hpp"
 
 #include <algorithm>
 
--- a/bench/policy/upstream_queue.hpp
+++ b/bench/policy/upstream_queue.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "policy/event_queue.hpp"
+#include "bench/policy/event_queue.hpp"
 
 #include <deque>
 
--- a/bench/policy/workload.cpp
+++ b/bench/policy/workload.cpp
@@ -1,4 +1,4 @@
-#include "policy/workload.hpp"
+#include "bench/policy/workload.hpp"
 
 namespace cornelcross::bench {
 
