Admit new flows for the round trip before their first request

Ruled out: the limit (it stood at the slots), the hold time (no flow waited at load 0.5). Change: by Little's law the agent admits the requests that are under way besides those that run; one that comes too early waits at the agent, so that the upstream never runs more than its limit. A cold upstream gets no flow in advance.

--- a/bench/policy/admission_policy.cpp
+++ b/bench/policy/admission_policy.cpp
@@ -32,7 +32,7 @@
   Agent& agent = mAgents[index];
   admission::Offer offer =
     agent.mControl.offer(mService.mEvents.now(), mService.mIsEligible[index]);
-  offer.mRoom = agent.mPending.empty() ? offer.mRoom : std::uint16_t{ 0 };
+  offer.mRoom = agent.mPending.flows() == 0 ? offer.mRoom : std::uint16_t{ 0 };
   const auto count = static_cast<std::uint8_t>(aFlow->mRanks.size());
   const admission::Step next = admission::decide(aWalk, aPosition, count, offer);
   if (const auto* pass = std::get_if<admission::PassTo>(&next)) {
@@ -53,6 +53,7 @@
 void AdmissionPolicy::admit(const FlowPtr& aFlow, std::size_t aAgent)
 {
   aFlow->mIsExpected = true;
+  aFlow->mAdmitted = mService.mEvents.now();
   mAgents[aAgent].mControl.flowOpened(mService.mEvents.now());
   mService.mAdmit(aFlow, aAgent);
 }
@@ -60,7 +61,10 @@
 void AdmissionPolicy::request(const FlowPtr& aFlow)
 {
   Agent& agent = mAgents[aFlow->mUpstream];
-  if (!aFlow->mIsExpected && (agent.mControl.room() == 0 || agent.mPending.requests() > 0)) {
+  if (aFlow->mIsExpected) {
+    agent.mControl.firstRequestArrived(mService.mEvents.now() - aFlow->mAdmitted);
+  }
+  if (agent.mControl.requestRoom() == 0 || agent.mPending.requests() > 0) {
     agent.mPending.addRequest(mService.mEvents.now(), aFlow->mWorkspace, aFlow);
     return;
   }
@@ -100,12 +104,11 @@
 void AdmissionPolicy::release(std::size_t aAgent)
 {
   Agent& agent = mAgents[aAgent];
-  while (agent.mControl.room() > 0 && !agent.mPending.empty()) {
-    if (const auto request = agent.mPending.nextRequest()) {
-      start(*request);
-    } else if (const auto flow = agent.mPending.nextFlow()) {
-      admit(*flow, aAgent);
-    }
+  while (agent.mControl.requestRoom() > 0 && agent.mPending.requests() > 0) {
+    start(*agent.mPending.nextRequest());
+  }
+  while (agent.mControl.flowRoom() > 0 && agent.mPending.flows() > 0) {
+    admit(*agent.mPending.nextFlow(), aAgent);
   }
 }
 
--- a/bench/policy/flow.hpp
+++ b/bench/policy/flow.hpp
@@ -22,6 +22,7 @@
   bool mIsExpected = false;       ///< admitted, first request not seen
   bool mIsBusy = false;
   base::Time mOpened;      ///< the caller's first SYN of this attempt
+  base::Time mAdmitted;    ///< by an agent
   base::Time mRequestSent; ///< by the caller
   base::Time mStarted;     ///< the request reached the upstream
 };
--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t kRestartResets = 2;
 constexpr base::Duration kResetWindow = std::chrono::seconds(1);
 
+/// Part of a new sample in the mean time from an admission to the first request.
+constexpr double kExpectationWeight = 0.05;
+
 } // namespace
 
 AdmissionControl::AdmissionControl(const AdmissionSettings& aSettings)
@@ -39,7 +42,7 @@
   }
   const double share = mService.share(aNow, meanLoad(aNow), limit());
   const bool isBelow = load() < std::ceil(share);
-  return { aIsEligible, isBelow, static_cast<std::uint16_t>(std::min(room(), 0xFFFFU)) };
+  return { aIsEligible, isBelow, static_cast<std::uint16_t>(std::min(flowRoom(), 0xFFFFU)) };
 }
 
 void AdmissionControl::flowOpened(base::Time aNow)
@@ -69,6 +72,24 @@
   --mExpected;
 }
 
+void AdmissionControl::firstRequestArrived(base::Duration aDelay)
+{
+  mExpectation += (static_cast<double>(aDelay.count()) - mExpectation) * kExpectationWeight;
+}
+
+// Little's law: a full upstream answers limit / answer time requests a second, so that this rate
+// times the expectation are under way. Without them a slot stays empty for a round trip after each
+// answer. What comes too early waits at the agent. A cold upstream gets no flow in advance.
+std::uint32_t AdmissionControl::flowLimit() const
+{
+  const auto usual = static_cast<double>(mLimit.usualLatency().count());
+  if (isCold() || usual <= 0) {
+    return limit();
+  }
+  const double underWay = std::min(mExpectation / usual, 1.0) * limit();
+  return limit() + static_cast<std::uint32_t>(underWay);
+}
+
 void AdmissionControl::requestStarted(base::Time aNow, bool aIsExpected)
 {
   advance(aNow);
--- a/src/admission/admission_control.hpp
+++ b/src/admission/admission_control.hpp
@@ -39,6 +39,9 @@
   /// @brief The first request of an admitted flow didn't come.
   void expectationEnded(base::Time aNow);
 
+  /// @brief The first request of an admitted flow arrived aDelay after the admission.
+  void firstRequestArrived(base::Duration aDelay);
+
   /// @brief A flow's request began: payload went towards the upstream.
   /// @param aIsExpected the request is the first one of an admitted flow
   void requestStarted(base::Time aNow, bool aIsExpected);
@@ -74,14 +77,18 @@
   /// @brief Requests that may be in progress at once.
   std::uint32_t limit() const { return mLimit.value(); }
 
-  /// @brief Requests that the upstream could take more.
-  std::uint32_t room() const { return load() < limit() ? limit() - load() : 0; }
+  /// @brief Requests that the upstream could start now.
+  std::uint32_t requestRoom() const { return mBusy < limit() ? limit() - mBusy : 0; }
+
+  /// @brief New flows that the upstream could take now.
+  std::uint32_t flowRoom() const { return load() < flowLimit() ? flowLimit() - load() : 0; }
 
   /// @brief True during a cold start.
   bool isCold() const { return mLimit.isCold(); }
 
 private:
   void advance(base::Time aNow);
+  std::uint32_t flowLimit() const;
   double meanLoad(base::Time aNow) const;
 
   AdmissionSettings mSettings;
@@ -94,8 +101,9 @@
   std::uint32_t mExpected = 0;
   std::uint32_t mResets = 0;
   base::Time mFirstReset;
-  base::Time mUpdated;  ///< when mMeanLoad was last brought up to date
-  double mMeanLoad = 0; ///< exponentially weighted mean of load()
+  double mExpectation = 0; ///< nanoseconds from an admission to the first request
+  base::Time mUpdated;     ///< when mMeanLoad was last brought up to date
+  double mMeanLoad = 0;    ///< exponentially weighted mean of load()
 };
 
 } // namespace cornelcross::admission
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -1,5 +1,7 @@
 #include "admission/concurrency_limit.hpp"
 
+#include "base/mechanisms.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -35,7 +37,7 @@
 {
   mIsCold = true;
   mHasStart = true;
-  mValue = std::min(mSettings.mColdLimit, mSlots);
+  mValue = base::mechanisms().mLimitColdStart ? std::min(mSettings.mColdLimit, mSlots) : mSlots;
   mColdUntil = aNow + mSettings.mColdStart;
   mWindowEnd = aNow + mSettings.mWindow;
   mSamples = 0;
--- a/src/admission/service_load.cpp
+++ b/src/admission/service_load.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// A load above this multiple of its limit is not believed.
+constexpr std::uint32_t kMostLoad = 2;
+
 /// A report that is older says nothing.
 constexpr base::Duration kFresh = std::chrono::seconds(2);
 
@@ -18,7 +21,7 @@
 
 double ServiceLoad::share(base::Time aNow, double aLoad, std::uint32_t aLimit) const
 {
-  double load = std::min<double>(aLoad, aLimit);
+  double load = std::min<double>(aLoad, kMostLoad * aLimit);
   double limit = aLimit;
   bool isKnown = false;
   for (const auto& [upstream, entry] : mEntries) {
@@ -27,7 +30,7 @@
     }
     isKnown = true;
     const double told = static_cast<double>(entry.mReport.mMeanLoad) / wire::kLoadUnit;
-    load += std::min<double>(told, entry.mReport.mLimit);
+    load += std::min<double>(told, kMostLoad * entry.mReport.mLimit);
     limit += entry.mReport.mLimit;
   }
   return isKnown ? load / limit * aLimit : aLimit;
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -137,7 +137,7 @@
     return { DropPacket{ DropReason::kHeldAlready } };
   }
   admission::Offer offer = mAdmission.offer(aNow, mConfiguration->mayOpen(*mUpstream));
-  offer.mRoom = mPending.empty() ? offer.mRoom : std::uint16_t{ 0 };
+  offer.mRoom = mPending.flows() == 0 ? offer.mRoom : std::uint16_t{ 0 };
   const admission::Step step =
     admission::decide(aForward.mWalk,
                       aForward.mPosition,
@@ -163,6 +163,7 @@
   FlowRecord record;
   record.mCallerInitial = aPacket.mSequence;
   record.mIsExpected = true;
+  record.mBusySince = aNow;
   record.mCallerNext = aPacket.mSequence + 1;
   record.mKnowsCallerNext = true;
   record.mLastSeen = aNow;
@@ -254,6 +255,7 @@
   if (aRecord.mIsBusy || aRecord.mIsOneWay || aRecord.mIsHeld) {
     return;
   }
+  noteFirstRequest(aNow, aRecord);
   aRecord.mIsBusy = true;
   aRecord.mBusySince = aNow;
   mAdmission.requestStarted(aNow, aRecord.mIsExpected);
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -73,6 +73,7 @@
   Actions releaseRequest(base::Time aNow, const wire::Forward& aForward);
   Actions releaseFlow(base::Time aNow, wire::Forward aForward);
   void collectPeers(const config::Service& aService);
+  void noteFirstRequest(base::Time aNow, const FlowRecord& aRecord);
   void updateLoad(base::Time aNow, FlowRecord& aRecord);
   Actions deliver(base::Time aNow,
                   FlowRecord& aRecord,
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -33,7 +33,7 @@
   std::uint32_t mCallerInitial = 0; ///< the caller's initial sequence number
   std::uint32_t mUpstreamNext = 0; ///< highest sequence number that the upstream has sent, plus one
   base::Time mLastSeen;            ///< last packet in either direction
-  base::Time mBusySince;           ///< start of the request in progress
+  base::Time mBusySince; ///< start of the request in progress; admission while mIsExpected
 
   auto operator<=>(const FlowRecord&) const = default;
 };
--- a/src/agent/held_work.cpp
+++ b/src/agent/held_work.cpp
@@ -46,7 +46,7 @@
 // until the first packet fills the hole (RFC 9293, section 3.10.7.4).
 bool Decisions::mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const
 {
-  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy || aRecord.mIsOneWay || aRecord.mIsExpected ||
+  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy || aRecord.mIsOneWay ||
       aPacket.has(flow::kRst)) {
     return false;
   }
@@ -56,7 +56,7 @@
   const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
   const bool isRetransmission =
     aRecord.mKnowsCallerNext && static_cast<std::int32_t>(end - aRecord.mCallerNext) <= 0;
-  return !isRetransmission && (mAdmission.room() == 0 || mPending.requests() > 0);
+  return !isRetransmission && (mAdmission.requestRoom() == 0 || mPending.requests() > 0);
 }
 
 Actions Decisions::holdRequest(base::Time aNow,
@@ -68,6 +68,7 @@
   if (aRecord.mIsHeld) {
     return { DropPacket{ DropReason::kHeldAlready } };
   }
+  noteFirstRequest(aNow, aRecord);
   aRecord.mIsHeld = true;
   aRecord.mHeldSequence = aPacket.mSequence;
   const std::size_t workspace = mConfiguration->workspaceOf(aPacket.mSource.mAddress);
@@ -85,12 +86,18 @@
 
 void Decisions::release(base::Time aNow, Actions& aActions)
 {
-  while (mAdmission.room() > 0 && !mPending.empty()) {
-    if (auto request = mPending.nextRequest()) {
-      append(aActions, releaseRequest(aNow, *request));
-    } else if (auto flow = mPending.nextFlow()) {
-      append(aActions, releaseFlow(aNow, std::move(*flow)));
-    }
+  while (mAdmission.requestRoom() > 0 && mPending.requests() > 0) {
+    append(aActions, releaseRequest(aNow, *mPending.nextRequest()));
+  }
+  while (mAdmission.flowRoom() > 0 && mPending.flows() > 0) {
+    append(aActions, releaseFlow(aNow, *mPending.nextFlow()));
+  }
+}
+
+void Decisions::noteFirstRequest(base::Time aNow, const FlowRecord& aRecord)
+{
+  if (aRecord.mIsExpected && !aRecord.mIsHeld) {
+    mAdmission.firstRequestArrived(aNow - aRecord.mBusySince);
   }
 }
 
