Refuse flows that wait at an upstream that left, in the policy bench

Cause: the bench kept admitting flows that waited at an upstream whose zone was out; the agent refuses them. Ruled out: the limit, which was not asked.

--- a/bench/policy/admission_policy.cpp
+++ b/bench/policy/admission_policy.cpp
@@ -115,7 +115,8 @@
 void AdmissionPolicy::tick()
 {
   for (std::size_t i = 0; i < mAgents.size(); ++i) {
-    const base::Time oldest = mService.mEvents.now() - mSettings.mHold;
+    const base::Time oldest = mService.mIsEligible[i] ? mService.mEvents.now() - mSettings.mHold
+                                                      : base::Time::max();
     for (const FlowPtr& flow : mAgents[i].mPending.takeFlowsOlderThan(oldest)) {
       mService.mRefuse(flow);
     }
