Round the flows under way up

Cause: at an upstream whose answers take much longer than a round trip, the flows under way were rounded down to none or one, so that a slot stayed empty after each answer. Ruled out: the hold queue, which was never empty at load 1.5.

--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -87,7 +87,7 @@
     return limit();
   }
   const double underWay = std::min(mExpectation / usual, 1.0) * limit();
-  return limit() + static_cast<std::uint32_t>(underWay);
+  return limit() + static_cast<std::uint32_t>(std::ceil(underWay));
 }
 
 void AdmissionControl::requestStarted(base::Time aNow, bool aIsExpected)
