Admit on the first round only up to the even share

Cause: with few slots the mean load is a small number, and rounding the share up let the busiest upstream run one request more than the others. Ruled out: stale reports (the mean moves slowly). Change: the first round admits only if the upstream with the new flow stays within its share; all others go where most room is, by what the walk collected.

--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -41,7 +41,7 @@
     return { aIsEligible, false, 0 };
   }
   const double share = mService.share(aNow, meanLoad(aNow), limit());
-  const bool isBelow = load() < std::ceil(share);
+  const bool isBelow = load() + 1 <= share;
   return { aIsEligible, isBelow, static_cast<std::uint16_t>(std::min(flowRoom(), 0xFFFFU)) };
 }
 
