--- a/bench/policy/admission_policy.cpp
+++ b/bench/policy/admission_policy.cpp
@@ -16,7 +16,7 @@
 {
   for (std::size_t i = 0; i < aService.mUpstreams.size(); ++i) {
     mAgents.emplace_back(aSettings);
-    mAgents.back().mControl.configure(aService.mEvents.now(), aService.mSlots, false);
+    mAgents.back().mControl.configure(aService.mEvents.now(), aService.mSlots, true, false);
   }
   report();
 }
@@ -115,8 +115,8 @@
 void AdmissionPolicy::tick()
 {
   for (std::size_t i = 0; i < mAgents.size(); ++i) {
-    const base::Time oldest = mService.mIsEligible[i] ? mService.mEvents.now() - mSettings.mHold
-                                                      : base::Time::max();
+    const base::Time oldest =
+      mService.mIsEligible[i] ? mService.mEvents.now() - mSettings.mHold : base::Time::max();
     for (const FlowPtr& flow : mAgents[i].mPending.takeFlowsOlderThan(oldest)) {
       mService.mRefuse(flow);
     }
@@ -137,7 +137,7 @@
 {
   for (std::size_t i = 0; i < mAgents.size(); ++i) {
     mAgents[i].mControl.configure(
-      mService.mEvents.now(), mService.mSlots, mService.mUpstreams[i].isCold());
+      mService.mEvents.now(), mService.mSlots, mService.mIsEligible[i], false);
   }
 }
 
--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -25,13 +25,18 @@
 {
 }
 
-void AdmissionControl::configure(base::Time aNow, std::uint32_t aSlots, bool aIsJoining)
-{
-  mLimit.configure(aSlots);
-  if (!mIsConfigured || (aIsJoining && !mIsJoining)) {
+// An upstream that was leaving, or whose zone was out, has been emptied and most likely restarted,
+// whether operators declare it joining or not.
+void AdmissionControl::configure(base::Time aNow,
+                                 std::uint32_t aSlots,
+                                 bool aIsEligible,
+                                 bool aIsJoining)
+{
+  mLimit.configure(aSlots, aIsJoining);
+  if ((aIsEligible && !mIsEligible) || (aIsJoining && !mIsJoining)) {
     mLimit.restart(aNow);
   }
-  mIsConfigured = true;
+  mIsEligible = aIsEligible;
   mIsJoining = aIsJoining;
 }
 
--- a/src/admission/admission_control.hpp
+++ b/src/admission/admission_control.hpp
@@ -17,8 +17,9 @@
 public:
   explicit AdmissionControl(const AdmissionSettings& aSettings);
 
-  /// @brief Adopts what the configuration declares. An upstream that is joining is cold.
-  void configure(base::Time aNow, std::uint32_t aSlots, bool aIsJoining);
+  /// @brief Adopts what the configuration declares. An upstream that becomes eligible for new flows
+  /// or is joining is cold.
+  void configure(base::Time aNow, std::uint32_t aSlots, bool aIsEligible, bool aIsJoining);
 
   /// @brief The upstream has started, as far as is known.
   void restart(base::Time aNow) { mLimit.restart(aNow); }
@@ -94,7 +95,7 @@
   AdmissionSettings mSettings;
   ConcurrencyLimit mLimit;
   ServiceLoad mService;
-  bool mIsConfigured = false;
+  bool mIsEligible = false;
   bool mIsJoining = false;
   std::uint32_t mFlows = 0;
   std::uint32_t mBusy = 0;
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-void ConcurrencyLimit::configure(std::uint32_t aSlots)
+void ConcurrencyLimit::configure(std::uint32_t aSlots, bool aIsJoining)
 {
+  mIsJoining = aIsJoining;
   mSlots = std::max(aSlots, std::uint32_t{ 1 });
   mValue = std::min(mValue, mSlots);
 }
@@ -67,7 +68,7 @@
   const bool isFirst = mUsual == 0;
   const double ratio = isFirst ? 1 : mean / mUsual;
   mUsual = isFirst ? mean : mUsual + (mean - mUsual) * (ratio < 1 ? kFasterWeight : kSlowerWeight);
-  mIsCold = mIsCold && aNow < mColdUntil;
+  mIsCold = mIsCold && (mIsJoining || aNow < mColdUntil);
   if (ratio > kTooSlow) {
     fall(ratio);
   } else if (!mIsCold && ratio < kSlow && mPeak >= mValue) {
--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -11,7 +11,7 @@
 struct LimitSettings
 {
   std::uint32_t mColdLimit = 1;                            ///< requests at once during a cold start
-  base::Duration mColdStart = std::chrono::seconds(20);    ///< length of a cold start
+  base::Duration mColdStart = std::chrono::seconds(30);    ///< length of a cold start
   base::Duration mWindow = std::chrono::milliseconds(250); ///< shortest time between two changes
   std::uint32_t mMinSamples = 4;                           ///< answers that a change needs at least
 
@@ -26,8 +26,8 @@
 public:
   explicit ConcurrencyLimit(const LimitSettings& aSettings) : mSettings(aSettings) {}
 
-  /// @brief Upper bound that the configuration declares.
-  void configure(std::uint32_t aSlots);
+  /// @brief Upper bound that the configuration declares. A joining upstream stays cold.
+  void configure(std::uint32_t aSlots, bool aIsJoining);
 
   /// @brief The upstream has started again, or is about to.
   void restart(base::Time aNow);
@@ -55,6 +55,7 @@
   LimitSettings mSettings;
   std::uint32_t mSlots = 1;
   std::uint32_t mValue = 1;
+  bool mIsJoining = false;
   bool mIsCold = true;
   bool mHasStart = false;
   base::Time mColdUntil;
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -61,8 +61,10 @@
         mUpstream = upstream;
         mServiceAddress = service.mAddress;
         mService = config::upstreamIdentity(name, "");
-        mAdmission.configure(
-          aNow, upstream.mSlots, upstream.mState == config::UpstreamState::kJoining);
+        mAdmission.configure(aNow,
+                             upstream.mSlots,
+                             mConfiguration->mayOpen(upstream),
+                             upstream.mState == config::UpstreamState::kJoining);
         collectPeers(service);
       }
     }
--- a/tests/unit/test_agent_admission.cpp
+++ b/tests/unit/test_agent_admission.cpp
@@ -170,6 +170,20 @@
   BOOST_TEST(count<Answer>(mAgent.onHoldTimer(mNow)) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(starts_low_again_when_its_upstream_or_zone_returns)
+{
+  for (int i = 0; i < 400; ++i) {
+    serveOne(static_cast<std::uint16_t>(i + 1));
+    mNow += 100ms;
+  }
+  BOOST_TEST(mAgent.admission().limit() > 1U);
+  auto configuration = makeConfiguration(1, 2);
+  configuration.mZones.emplace("a", config::AvailabilityZone{ "a", false });
+  mAgent.apply(mNow, share(configuration));
+  mAgent.apply(mNow, share(makeConfiguration(1, 3)));
+  BOOST_TEST(mAgent.admission().limit() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(tells_the_other_agents_of_the_service_its_load)
 {
   mAgent.apply(mNow, share(makeConfiguration(3, 2)));
