--- a/src/agent/actions.cpp
+++ b/src/agent/actions.cpp
@@ -17,6 +17,8 @@
       return "no_owner";
     case DropReason::kHeldAlready:
       return "held_already";
+    case DropReason::kNotOwned:
+      return "not_owned";
     case DropReason::kNoRecord:
       return "no_record";
   }
--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -12,6 +12,8 @@
   flow::Endpoint mSelf;             ///< this agent, as the configuration lists it
   std::uint16_t mMaxSegment = 1380; ///< bytes; upper bound for the MSS option
   admission::AdmissionSettings mAdmission = {};
+  /// For so long after its start an agent's records may lack flows of its upstream.
+  base::Duration mRecoveryWindow = std::chrono::hours(12);
   base::Duration mHalfOpenTimeout = std::chrono::seconds(30);
   base::Duration mClosingTimeout = std::chrono::seconds(60);
   base::Duration mIdleTimeout = std::chrono::hours(12);
--- /dev/null
+++ b/src/agent/chain.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "agent/actions.hpp"
+#include "config/configuration.hpp"
+#include "membership/failure_detector.hpp"
+#include "routing/service_routes.hpp"
+
+#include <optional>
+
+namespace cornelcross::agent {
+
+/// @brief Takes a caller's packet on along the candidates for its flow, past suspected agents.
+class Chain
+{
+public:
+  /// @param aPeers which agents answer; outlives this object
+  explicit Chain(membership::FailureDetector& aPeers) : mPeers(aPeers) {}
+
+  /// @brief Adopts the configuration and the service in it, which must be part of it.
+  void configure(config::ConfigurationPtr aConfiguration, const config::Service* aService);
+
+  /// @brief Notes that aSelf, which has the packet now, can't tell whether its upstream owns the
+  /// flow. The list is bounded: a full one is asked at once and the chain goes on without it.
+  static Actions addUnsure(flow::Endpoint aSelf, wire::Forward& aForward);
+
+  /// @brief Sends the packet to the next candidate, or ends the chain: a SYN that no upstream took
+  /// is refused; any other packet is handed to the upstreams that may still own the flow, or
+  /// answered with RST if every candidate denied it.
+  Actions pass(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward) const;
+
+  /// @brief True if a candidate that isn't suspected follows among those that are listed.
+  bool hasNext(const wire::Forward& aForward) const;
+
+  /// @brief Ends the chain: a SYN is refused; see pass().
+  static Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward);
+
+private:
+  bool takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
+  void askSuspects(base::Time aNow,
+                   std::size_t aFirst,
+                   wire::Forward& aForward,
+                   Actions& aActions) const;
+  static void askUnsure(const wire::Forward& aForward, wire::Inquiry aInquiry, Actions& aActions);
+
+  membership::FailureDetector& mPeers;
+  config::ConfigurationPtr mConfiguration;
+  std::optional<routing::ServiceRoutes> mRoutes;
+};
+
+} // namespace cornelcross::agent
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -4,7 +4,9 @@
 #include "admission/pending_work.hpp"
 #include "agent/actions.hpp"
 #include "agent/agent_settings.hpp"
+#include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
+#include "agent/upstream_inquiry.hpp"
 #include "config/configuration.hpp"
 #include "flow/run_verdict.hpp"
 
@@ -20,6 +22,8 @@
 {
 public:
   explicit Decisions(const AgentSettings& aSettings);
+  Decisions(const Decisions&) = delete;
+  Decisions& operator=(const Decisions&) = delete;
 
   /// @brief Puts a configuration into force. One with a lower revision is ignored.
   Actions apply(base::Time aNow, config::ConfigurationPtr aConfiguration);
@@ -41,6 +45,14 @@
 
   /// @brief Tells other agents of the service the load; called about every 250 ms.
   Actions onReportTimer(base::Time aNow);
+  /// @brief Probes silent peers; called a few times a second.
+  Actions onPeerTick(base::Time aNow);
+
+  /// @brief Which agents answer.
+  membership::FailureDetector& peers() { return mPeers; }
+
+  /// @brief Which agents answer.
+  const membership::FailureDetector& peers() const { return mPeers; }
 
   /// @brief Revision in force.
   std::uint64_t revision() const { return mConfiguration->mRevision; }
@@ -60,9 +72,16 @@
 private:
   Actions onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions onUnrecorded(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions onInquiry(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  bool recordsAreComplete(base::Time aNow) const;
   Actions open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions hold(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions passOpening(base::Time aNow,
+                      const flow::TcpPacket& aPacket,
+                      wire::Forward aForward,
+                      const admission::PassTo& aPass);
   Actions refuse(const wire::Forward& aForward);
   bool mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const;
   Actions holdRequest(base::Time aNow,
@@ -72,15 +91,13 @@
   void release(base::Time aNow, Actions& aActions);
   Actions releaseRequest(base::Time aNow, const wire::Forward& aForward);
   Actions releaseFlow(base::Time aNow, wire::Forward aForward);
-  void collectPeers(const config::Service& aService);
+  void collectReporters(const config::Service& aService);
   void noteFirstRequest(base::Time aNow, const FlowRecord& aRecord);
   void updateLoad(base::Time aNow, FlowRecord& aRecord);
   Actions deliver(base::Time aNow,
                   FlowRecord& aRecord,
                   const flow::TcpPacket& aPacket,
                   const wire::Forward& aForward);
-  Actions pass(const flow::TcpPacket& aPacket, wire::Forward aForward) const;
-  Actions endChain(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
   Actions abandonHalfOpen(base::Time aNow, const flow::FlowKey& aFlow, const FlowRecord& aRecord);
   void trackCallerPayload(base::Time aNow, FlowRecord& aRecord, const flow::TcpPacket& aPacket);
   void trackUpstreamPayload(base::Time aNow, FlowRecord& aRecord, const flow::TcpPacket& aPacket);
@@ -98,10 +115,15 @@
   admission::AdmissionControl mAdmission;
   admission::PendingWork<wire::Forward> mPending;
   std::unordered_set<flow::FlowKey, flow::FlowKeyHash> mHeldFlows;
-  std::vector<flow::Endpoint> mPeers; ///< the other agents of the service
-  std::unordered_set<std::uint64_t> mPeerIdentities;
-  std::size_t mNextPeer = 0;
+  std::vector<flow::Endpoint> mReportTargets;   ///< the other agents of the service
+  std::unordered_set<std::uint64_t> mReporters; ///< identities of their upstreams
+  std::size_t mNextTarget = 0;
   FlowTable mFlows;
+  membership::FailureDetector mPeers;
+  Chain mChain;
+  UpstreamInquiry mInquiry;
+  std::optional<base::Time> mStarted; ///< when the first configuration came into force
+  std::uint64_t mNonce = 0;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/held_work.cpp
+++ b/src/agent/held_work.cpp
@@ -35,11 +35,26 @@
   return evicted ? refuse(*evicted) : Actions{};
 }
 
+Actions Decisions::passOpening(base::Time aNow,
+                               const flow::TcpPacket& aPacket,
+                               wire::Forward aForward,
+                               const admission::PassTo& aPass)
+{
+  aForward.mWalk = aPass.mWalk;
+  if (aPass.mWalk.mRound == wire::Round::kBalance) {
+    return mChain.pass(aNow, aPacket, std::move(aForward));
+  }
+  aForward.mPosition = aPass.mPosition;
+  const flow::Endpoint agent = aForward.mCandidates[aPass.mPosition];
+  mPeers.noteUse(aNow, agent);
+  return { SendMessage{ agent, std::move(aForward) } };
+}
+
 Actions Decisions::refuse(const wire::Forward& aForward)
 {
   const auto packet = flow::TcpPacket::parse(aForward.mPacket);
   mHeldFlows.erase(packet->keyFromCaller());
-  return endChain(*packet, aForward);
+  return Chain::end(*packet, aForward);
 }
 
 // Only the first packet of a request waits. What follows goes through: the upstream's TCP keeps it
@@ -167,7 +182,7 @@
 
 void Decisions::onLoadReport(base::Time aNow, const wire::LoadReport& aReport)
 {
-  if (mPeerIdentities.count(aReport.mUpstream) > 0) {
+  if (mReporters.count(aReport.mUpstream) > 0) {
     mAdmission.learn(aNow, aReport);
   }
 }
@@ -175,12 +190,13 @@
 Actions Decisions::onReportTimer(base::Time aNow)
 {
   Actions actions;
-  if (!mUpstream || mPeers.empty() || !mConfiguration->mayOpen(*mUpstream)) {
+  if (!mUpstream || mReportTargets.empty() || !mConfiguration->mayOpen(*mUpstream)) {
     return actions;
   }
   const wire::LoadReport report = mAdmission.report(aNow, mUpstream->mIdentity);
-  for (std::size_t i = 0; i < std::min(kReportFanout, mPeers.size()); ++i) {
-    actions.emplace_back(SendMessage{ mPeers[mNextPeer++ % mPeers.size()], report });
+  for (std::size_t i = 0; i < std::min(kReportFanout, mReportTargets.size()); ++i) {
+    actions.emplace_back(
+      SendMessage{ mReportTargets[mNextTarget++ % mReportTargets.size()], report });
   }
   return actions;
 }
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -9,6 +9,7 @@
 constexpr base::Duration kTick = std::chrono::seconds(1);
 constexpr base::Duration kHoldTick = std::chrono::milliseconds(20);
 constexpr base::Duration kReportInterval = std::chrono::milliseconds(250);
+constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
 
 bool isFlowEvent(const telemetry::Event& aEvent)
 {
@@ -24,16 +25,22 @@
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAgent)
   , mSocket(aSettings.mListen)
-  , mConfig(aSettings.mConfigService,
-            mLog,
-            [this](config::ConfigurationPtr aConfiguration) {
-              perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
-            })
+  , mMembership(
+      aSettings.mMembership,
+      mLog,
+      mMetrics,
+      [this](flow::Endpoint aTo, flow::Bytes aBytes) {
+        mSocket.queue(aTo, std::move(aBytes));
+        mSocket.flush();
+      },
+      [this](config::ConfigurationPtr aConfiguration) {
+        perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
+      })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mDecisions.revision() > 0; })
+      [this] { return mMembership.mayForward(); })
 {
 }
 
@@ -51,16 +58,22 @@
     mSocket.flush();
   });
   mLoop.every(kHoldTick, [this] {
-    perform(mDecisions.onHoldTimer(net::MainLoop::now()));
-    mSocket.flush();
+    if (mMembership.mayForward()) {
+      perform(mDecisions.onHoldTimer(net::MainLoop::now()));
+      mSocket.flush();
+    }
   });
   mLoop.every(kReportInterval, [this] {
     perform(mDecisions.onReportTimer(net::MainLoop::now()));
     mSocket.flush();
   });
+  mLoop.every(kProbeTick, [this] {
+    perform(mDecisions.onPeerTick(net::MainLoop::now()));
+    mSocket.flush();
+  });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
-  mConfig.start();
+  mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
@@ -68,7 +81,7 @@
 void Shell::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   if (wire::isFrame(aDatagram)) {
-    onFrame(aDatagram);
+    onFrame(aDatagram, aFrom);
     return;
   }
   const auto& upstream = mDecisions.upstream();
@@ -76,11 +89,15 @@
     countDrop("unknown_sender");
     return;
   }
+  if (!mMembership.mayForward()) {
+    countDrop("unconfirmed");
+    return;
+  }
   perform(mDecisions.onUpstreamPacket(net::MainLoop::now(),
                                       flow::Bytes(aDatagram.begin(), aDatagram.end())));
 }
 
-void Shell::onFrame(std::span<const std::byte> aDatagram)
+void Shell::onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
@@ -88,7 +105,17 @@
     return;
   }
   auto& frame = std::get<wire::Frame>(decoded);
+  mMembership.onFrame(aFrom, frame, aDatagram.size());
+  mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
+  if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
+    SendMessage reply{ aFrom, wire::ProbeReply{ probe->mNonce } };
+    perform(reply);
+  }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
+    if (!mMembership.mayForward()) {
+      countDrop("unconfirmed");
+      return;
+    }
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
   } else if (const auto* report = std::get_if<wire::LoadReport>(&frame.mMessage)) {
     mDecisions.onLoadReport(net::MainLoop::now(), *report);
@@ -114,7 +141,12 @@
 
 void Shell::perform(SendMessage& aAction)
 {
-  mSocket.queue(aAction.mTo, wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+  if (std::holds_alternative<wire::Forward>(aAction.mMessage)) {
+    mSocket.queue(aAction.mTo,
+                  wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+    return;
+  }
+  mMembership.send(aAction.mTo, aAction.mMessage);
 }
 
 void Shell::perform(const DropPacket& aAction)
@@ -148,11 +180,13 @@
            { "upstream", upstream ? upstream->mName : "" },
            { "state", upstream ? std::string(toString(upstream->mState)) : "unlisted" },
            { "flows", mDecisions.flows().size() },
+           { "suspected_agents", mDecisions.peers().suspects() },
            { "busy", admission.busy() },
            { "held_flows", mDecisions.pending().flows() },
            { "held_requests", mDecisions.pending().requests() },
            { "cold", admission.isCold() },
-           { "limit", admission.limit() } };
+           { "limit", admission.limit() },
+           { "membership", mMembership.status() } };
 }
 
 } // namespace cornelcross::agent
--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -1,5 +1,7 @@
 #include "balancer/decisions.hpp"
 
+#include "routing/candidates.hpp"
+
 #include <algorithm>
 
 namespace cornelcross::balancer {
@@ -16,22 +18,40 @@
   }
 }
 
-std::vector<flow::Endpoint> Decisions::candidates(const routing::ServiceRoutes& aRoutes,
-                                                  const flow::FlowKey& aFlow,
-                                                  bool aOpensFlow)
+void Decisions::preferOwner(const flow::FlowKey& aFlow,
+                            const routing::ServiceRoutes& aRoutes,
+                            std::vector<flow::Endpoint>& aCandidates)
 {
-  auto agents = aRoutes.candidates(aFlow.hash(), aOpensFlow, wire::kMaxCandidates);
   const flow::Endpoint* owner = mOwners.find(aFlow);
-  if (owner != nullptr) {
-    const auto found = std::find(agents.begin(), agents.end(), *owner);
-    if (found != agents.end()) {
-      std::rotate(agents.begin(), found, found + 1);
-    }
+  if (owner == nullptr) {
+    return;
+  }
+  const auto found = std::find(aCandidates.begin(), aCandidates.end(), *owner);
+  if (found != aCandidates.end()) {
+    std::rotate(aCandidates.begin(), found, found + 1);
+  } else if (aRoutes.mayReceive(*owner)) {
+    aCandidates.insert(aCandidates.begin(), *owner);
+  }
+}
+
+wire::Forward Decisions::address(base::Time aNow,
+                                 const routing::ServiceRoutes& aRoutes,
+                                 const flow::TcpPacket& aPacket)
+{
+  const flow::FlowKey key = aPacket.keyFromCaller();
+  wire::Forward forward;
+  forward.mCandidates = aRoutes.candidates(key.hash(), aPacket.opensFlow(), routing::kChunk);
+  forward.mIsComplete = aRoutes.receivers() <= routing::kChunk;
+  preferOwner(key, aRoutes, forward.mCandidates);
+  const std::size_t suspects = mPeers.deferSuspects(forward.mCandidates, 0);
+  // A suspect that would have been asked stays in use, so that it goes on being probed.
+  for (std::size_t i = forward.mCandidates.size() - suspects; i < forward.mCandidates.size(); ++i) {
+    mPeers.noteUse(aNow, forward.mCandidates[i]);
   }
-  return agents;
+  return forward;
 }
 
-Action Decisions::decide(base::Time, std::span<const std::byte> aPacket)
+Action Decisions::decide(base::Time aNow, std::span<const std::byte> aPacket)
 {
   const auto packet = flow::TcpPacket::parse(aPacket);
   if (!packet) {
@@ -41,20 +61,20 @@
   if (routes == nullptr) {
     return DropPacket{ DropReason::kNoService };
   }
-  wire::Forward forward;
-  forward.mCandidates = candidates(*routes, packet->keyFromCaller(), packet->opensFlow());
+  wire::Forward forward = address(aNow, *routes, *packet);
   if (forward.mCandidates.empty()) {
     return DropPacket{ DropReason::kNoUpstream };
   }
-  forward.mIsComplete = forward.mCandidates.size() == routes->receivers();
   forward.mIngress = mSelf;
   forward.mService = routes->identity();
   const flow::Endpoint first = forward.mCandidates.front();
+  mPeers.noteUse(aNow, first);
   return SendForward{ first, std::move(forward) };
 }
 
-void Decisions::learn(base::Time, const wire::OwnerNotice& aNotice)
+void Decisions::learn(base::Time aNow, const wire::OwnerNotice& aNotice)
 {
+  mPeers.noteAlive(aNow, aNotice.mOwner);
   mOwners.store(aNotice.mFlow, aNotice.mOwner);
 }
 
