--- a/bench/policy/experiment.hpp
+++ b/bench/policy/experiment.hpp
@@ -28,7 +28,7 @@
   std::string mPolicy;
   double mLoad = 0.5; ///< offered work over what the slots can do
   std::uint32_t mSeconds = 60;
-  std::uint32_t mSettleSeconds = 40; ///< before anything is measured
+  std::uint32_t mSettleSeconds = 60; ///< before anything is measured
   std::uint64_t mSeed = 1;
   bool mIsGreedy = false; ///< one firm offers five times its even share
   double mColdSeconds = 15;
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -13,6 +13,9 @@
 DEFINE_string(fabric, "", "ADDRESS:PORT to which IP packets for callers are sent in UDP");
 DEFINE_string(name, "agent", "name of this process in logs");
 DEFINE_uint32(max_flows, 2000, "connections that the upstream holds at most");
+DEFINE_uint32(cold_limit, 1, "requests at once that the upstream gets during a cold start");
+DEFINE_uint32(cold_start_seconds, 30, "seconds that a cold start of the upstream lasts at most");
+DEFINE_uint32(hold_ms, 750, "milliseconds that a new flow waits for room before it is refused");
 DEFINE_uint32(max_segment, 1380, "bytes; upper bound for the MSS option of both sides");
 DEFINE_bool(log_flows, false, "log an event for each flow that opens or closes");
 
@@ -26,6 +29,9 @@
   settings.mAgent.mSelf =
     FLAGS_advertise.empty() ? settings.mListen : check.endpoint("advertise", FLAGS_advertise);
   settings.mAgent.mAdmission.mMaxFlows = FLAGS_max_flows;
+  settings.mAgent.mAdmission.mLimit.mColdLimit = FLAGS_cold_limit;
+  settings.mAgent.mAdmission.mLimit.mColdStart = std::chrono::seconds(FLAGS_cold_start_seconds);
+  settings.mAgent.mAdmission.mHold = std::chrono::milliseconds(FLAGS_hold_ms);
   settings.mAgent.mMaxSegment = static_cast<std::uint16_t>(FLAGS_max_segment);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
   settings.mMembership = membership::readFlags(check, settings.mAgent.mSelf, settings.mListen);
@@ -33,6 +39,9 @@
   settings.mName = FLAGS_name;
   settings.mLogFlows = FLAGS_log_flows;
   check.range("max_flows", FLAGS_max_flows, 1, 16777216);
+  check.range("cold_limit", FLAGS_cold_limit, 1, 65535);
+  check.range("cold_start_seconds", FLAGS_cold_start_seconds, 0, 86400);
+  check.range("hold_ms", FLAGS_hold_ms, 0, 900);
   check.range("max_segment", FLAGS_max_segment, 536, 9000);
   check.require(!FLAGS_name.empty(), "--name: expected a non-empty name");
   if (check.report()) {
