--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -21,6 +21,14 @@
   return !aRecord.mKnowsUpstreamNext || aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
 }
 
+/// True if the packet carries data that the agent has not seen before.
+bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
+  return aPacket.mPayloadLength > 0 &&
+         (!aRecord.mKnowsCallerNext || static_cast<std::int32_t>(end - aRecord.mCallerNext) > 0);
+}
+
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
 {
   return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
@@ -32,7 +40,8 @@
 Decisions::Decisions(const AgentSettings& aSettings)
   : mSettings(aSettings)
   , mConfiguration(std::make_shared<const config::Configuration>())
-  , mAdmission(aSettings.mMaxFlows)
+  , mAdmission(aSettings.mAdmission)
+  , mPending(aSettings.mAdmission.mMaxHeld, aSettings.mAdmission.mMaxHeld)
   , mChain(mPeers)
 {
 }
@@ -45,6 +54,10 @@
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
   const auto before = std::exchange(mUpstream, std::nullopt);
+  const std::uint64_t identity = before ? before->mIdentity : 0;
+  mReportTargets.clear();
+  mReporters.clear();
+  mAdmission.forgetReports();
   mChain.configure(mConfiguration, nullptr);
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
@@ -52,11 +65,18 @@
         mUpstream = upstream;
         mServiceAddress = service.mAddress;
         mService = config::upstreamIdentity(name, "");
-        mAdmission.configure(upstream.mSlots);
+        mAdmission.configure(aNow,
+                             upstream.mSlots,
+                             mConfiguration->mayOpen(upstream),
+                             upstream.mState == config::UpstreamState::kJoining);
+        collectReporters(service);
         mChain.configure(mConfiguration, &service);
       }
     }
   }
+  if (mUpstream && mUpstream->mIdentity != identity) {
+    mAdmission.restart(aNow);
+  }
   return before == mUpstream ? Actions{} : Actions{ assignment() };
 }
 
@@ -72,6 +92,16 @@
              { "state", std::string(toString(mUpstream->mState)) } } };
 }
 
+void Decisions::collectReporters(const config::Service& aService)
+{
+  for (const auto& upstream : aService.mUpstreams) {
+    if (upstream.mAgent != mSettings.mSelf && mConfiguration->mayOpen(upstream)) {
+      mReportTargets.push_back(upstream.mAgent);
+      mReporters.insert(upstream.mIdentity);
+    }
+  }
+}
+
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
 {
   const auto packet = flow::TcpPacket::parse(aForward.mPacket);
@@ -122,12 +152,36 @@
 
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
-  const bool isEligible = mConfiguration->mayOpen(*mUpstream);
-  if (!isEligible || mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
+  if (mHeldFlows.count(aPacket.keyFromCaller()) > 0) {
+    return { DropPacket{ DropReason::kHeldAlready } };
+  }
+  admission::Offer offer = mAdmission.offer(aNow, mConfiguration->mayOpen(*mUpstream));
+  offer.mRoom = mPending.flows() == 0 ? offer.mRoom : std::uint16_t{ 0 };
+  const auto count = aForward.mPosition + (mChain.hasNext(aForward) ? 2 : 1);
+  const admission::Step step =
+    admission::decide(aForward.mWalk, aForward.mPosition, static_cast<std::uint8_t>(count), offer);
+  if (const auto* pass = std::get_if<admission::PassTo>(&step)) {
+    return passOpening(aNow, aPacket, std::move(aForward), *pass);
+  }
+  if (std::holds_alternative<admission::Hold>(step)) {
+    return hold(aNow, aPacket, std::move(aForward));
+  }
+  if (std::holds_alternative<admission::Refuse>(step)) {
+    // None of these candidates is eligible; there may be others.
+    aForward.mWalk = {};
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
+  return admit(aNow, aPacket, std::move(aForward));
+}
+
+Actions Decisions::admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
+{
   FlowRecord record;
   record.mCallerInitial = aPacket.mSequence;
+  record.mIsExpected = true;
+  record.mBusySince = aNow;
+  record.mCallerNext = aPacket.mSequence + 1;
+  record.mKnowsCallerNext = true;
   record.mLastSeen = aNow;
   mFlows.insert(aPacket.keyFromCaller(), record);
   mInquiry.erase(aPacket.keyFromCaller());
@@ -174,6 +228,9 @@
   } else if (!fits) {
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
+  if (mustWait(*record, aPacket)) {
+    return holdRequest(aNow, *record, aPacket, std::move(aForward));
+  }
   return deliver(aNow, *record, aPacket, aForward);
 }
 
@@ -251,19 +308,30 @@
                                    FlowRecord& aRecord,
                                    const flow::TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy) {
+  if (!isNewPayload(aRecord, aPacket)) {
+    return;
+  }
+  aRecord.mCallerNext = aPacket.nextSequence();
+  aRecord.mKnowsCallerNext = true;
+  if (aRecord.mIsBusy || aRecord.mIsOneWay || aRecord.mIsHeld) {
     return;
   }
+  noteFirstRequest(aNow, aRecord);
   aRecord.mIsBusy = true;
   aRecord.mBusySince = aNow;
-  mAdmission.requestStarted(aNow);
+  mAdmission.requestStarted(aNow, aRecord.mIsExpected);
+  aRecord.mIsExpected = false;
 }
 
 void Decisions::trackUpstreamPayload(base::Time aNow,
                                      FlowRecord& aRecord,
                                      const flow::TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0 || !aRecord.mIsBusy) {
+  if (aPacket.mPayloadLength == 0) {
+    return;
+  }
+  aRecord.mIsOneWay = false;
+  if (!aRecord.mIsBusy) {
     return;
   }
   aRecord.mIsBusy = false;
@@ -313,7 +381,7 @@
     adopted.mState = FlowState::kEstablished;
     record = &mFlows.insert(key, adopted);
     mInquiry.erase(key);
-    mAdmission.flowOpened(aNow);
+    mAdmission.flowAdopted(aNow);
     actions.emplace_back(
       telemetry::Event{ telemetry::EventKind::kFlowAdopted, { { "flow", key.toString() } } });
   }
@@ -326,8 +394,12 @@
     return actions;
   }
   if (packet->has(flow::kRst)) {
+    if (record->mIsBusy || !record->mIsAnswered) {
+      mAdmission.upstreamReset(aNow);
+    }
     actions.emplace_back(close(aNow, key, *record, "upstream_reset"));
     mFlows.erase(key);
+    release(aNow, actions);
     return actions;
   }
   const std::uint32_t next = packet->nextSequence();
@@ -341,6 +413,7 @@
   if (record->mHasCallerFin && record->mHasUpstreamFin) {
     record->mState = FlowState::kClosing;
   }
+  release(aNow, actions);
   return actions;
 }
 
@@ -352,6 +425,9 @@
   if (aRecord.mIsBusy) {
     mAdmission.requestAbandoned(aNow);
   }
+  if (aRecord.mIsExpected) {
+    mAdmission.expectationEnded(aNow);
+  }
   mAdmission.flowClosed(aNow);
   return { telemetry::EventKind::kFlowClosed,
            { { "flow", aFlow.toString() },
@@ -377,8 +453,9 @@
 {
   mInquiry.expire(aNow);
   Actions actions;
-  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
     if (!isExpired(aNow, aRecord)) {
+      updateLoad(aNow, aRecord);
       return false;
     }
     actions.emplace_back(close(aNow, aFlow, aRecord, "expired"));
