Keep to the facts when an upstream is gone, replaced or its port reused

Causes: an agent went on giving every new flow to an upstream that answered none; a record outlived the upstream's own connection, so that the ACK of a new one on the same port didn't fit; a reused port opened a new flow at a leaving upstream; records survived the move of an agent to another VM or service; a delayed segment of an earlier connection ended a half-open one; and a process that had been paused suspected its peers for its own silence.

Change: agent::UpstreamWatch sends new flows elsewhere, but for one a second, while the upstream answers no SYN (three within 500 ms) or refuses them; its RST for a SYN is held back, so that the caller's next SYN finds another upstream. A SYN-ACK for a reused port renews the record. A leaving upstream gets no reused port. Another address or service releases the records. A half-open flow yields only to a segment of the same attempt. The failure detector forgets its suspicions after a pause of its own.

Ruled out: ending a living flow for a SYN with another sequence number (RFC 5961, section 4: one stale or forged SYN would break it).

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -21,6 +21,12 @@
   return !aRecord.mKnowsUpstreamNext || aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
 }
 
+/// True if the segment belongs to the connection that the record's SYN opens.
+bool isOfAttempt(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  return aPacket.mSequence - aRecord.mCallerInitial <= kAckWindow;
+}
+
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
 {
   return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
@@ -44,6 +50,9 @@
   }
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
+  const std::optional<config::Upstream> before = std::move(mUpstream);
+  const std::uint64_t serviceBefore = mService;
+  const flow::Endpoint addressBefore = mServiceAddress;
   mUpstream.reset();
   mChain.configure(mConfiguration, nullptr);
   for (const auto& [name, service] : mConfiguration->mServices) {
@@ -57,7 +66,24 @@
       }
     }
   }
-  return {};
+  // Another VM, or the same one for another service, has none of the flows that are on record.
+  const bool isAnother = before && mUpstream &&
+                         (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
+                          addressBefore != mServiceAddress);
+  return isAnother ? releaseFlows(aNow) : Actions{};
+}
+
+Actions Decisions::releaseFlows(base::Time aNow)
+{
+  Actions actions;
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+    actions.emplace_back(close(aNow, aFlow, aRecord, "upstream_replaced"));
+    return true;
+  });
+  mInquiry.clear();
+  mUpstreamWatch = {};
+  mStarted = aNow;
+  return actions;
 }
 
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
@@ -102,6 +128,10 @@
   }
   // A retransmission, or a SYN in a living connection, which the upstream's TCP answers itself
   // (RFC 5961, section 4).
+  if (isReuse && !mConfiguration->mayOpen(*mUpstream)) {
+    return mChain.pass(aNow, aPacket, std::move(aForward));
+  }
+  record->mPendingInitial = isReuse ? aPacket.mSequence : 0;
   record->mLastSeen = aNow;
   flow::stripSynPayload(aForward.mPacket, aPacket);
   flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
@@ -111,13 +141,15 @@
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
   const bool isEligible = mConfiguration->mayOpen(*mUpstream);
-  if (!isEligible || mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
+  if (!isEligible || !mUpstreamWatch.mayOpen(aNow) ||
+      mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
   FlowRecord record;
   record.mCallerInitial = aPacket.mSequence;
   record.mLastSeen = aNow;
   mFlows.insert(aPacket.keyFromCaller(), record);
+  mUpstreamWatch.noteSyn(aNow);
   mInquiry.erase(aPacket.keyFromCaller());
   mAdmission.flowOpened(aNow);
   flow::stripSynPayload(aForward.mPacket, aPacket);
@@ -150,6 +182,10 @@
     const bool isOwned = record->mIsAnswered && aPacket.has(flow::kAck) &&
                          aPacket.mAcknowledgement == record->mUpstreamNext;
     const bool isReset = aPacket.has(flow::kRst) && aPacket.mSequence == record->mCallerInitial + 1;
+    if (!isOwned && !isReset && !isOfAttempt(*record, aPacket)) {
+      // Left over from an earlier connection of this port; says nothing about this one.
+      return mChain.pass(aNow, aPacket, std::move(aForward));
+    }
     if (!isOwned && !isReset) {
       Actions actions = abandonHalfOpen(aNow, key, *record);
       Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
@@ -307,7 +343,16 @@
   }
   if (packet->has(flow::kSyn)) {
     flow::clampMss(aPacket, *packet, mSettings.mMaxSegment);
-    record->mIsAnswered = true;
+    acceptSyn(aNow, *packet, *record, actions);
+  }
+  const bool isRefusal =
+    record != nullptr && packet->has(flow::kRst) && record->mState == FlowState::kHalfOpen;
+  if (isRefusal && !record->mIsAnswered) {
+    // Nothing ran. The caller's next SYN finds the flow without a record and goes elsewhere.
+    mUpstreamWatch.noteRefused(aNow);
+    actions.emplace_back(close(aNow, key, *record, "upstream_refused"));
+    mFlows.erase(key);
+    return actions;
   }
   actions.emplace_back(SendToCaller{ std::move(aPacket) });
   if (record == nullptr) {
@@ -332,6 +377,25 @@
   return actions;
 }
 
+void Decisions::acceptSyn(base::Time aNow,
+                          const flow::TcpPacket& aPacket,
+                          FlowRecord& aRecord,
+                          Actions& aActions)
+{
+  mUpstreamWatch.noteAccepted();
+  const bool isRenewed =
+    aRecord.mPendingInitial != 0 && aPacket.mAcknowledgement == aRecord.mPendingInitial + 1;
+  if (isRenewed) {
+    // The upstream had lost the connection of which this record tells: a new one took its place.
+    aActions.emplace_back(close(aNow, aPacket.keyFromUpstream(), aRecord, "port_reused"));
+    const std::uint32_t initial = aRecord.mPendingInitial;
+    aRecord = FlowRecord{};
+    aRecord.mCallerInitial = initial;
+    mAdmission.flowOpened(aNow);
+  }
+  aRecord.mIsAnswered = true;
+}
+
 telemetry::Event Decisions::close(base::Time aNow,
                                   const flow::FlowKey& aFlow,
                                   const FlowRecord& aRecord,
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -6,6 +6,7 @@
 #include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
 #include "agent/upstream_inquiry.hpp"
+#include "agent/upstream_watch.hpp"
 #include "config/configuration.hpp"
 #include "flow/run_verdict.hpp"
 
@@ -74,6 +75,11 @@
                          const flow::FlowKey& aFlow,
                          const FlowRecord& aRecord,
                          const std::string& aReason);
+  Actions releaseFlows(base::Time aNow);
+  void acceptSyn(base::Time aNow,
+                 const flow::TcpPacket& aPacket,
+                 FlowRecord& aRecord,
+                 Actions& aActions);
   bool isExpired(base::Time aNow, const FlowRecord& aRecord) const;
 
   AgentSettings mSettings;
@@ -86,6 +92,7 @@
   membership::FailureDetector mPeers;
   Chain mChain;
   UpstreamInquiry mInquiry;
+  UpstreamWatch mUpstreamWatch;
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
 };
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -19,12 +19,13 @@
 struct FlowRecord
 {
   FlowState mState = FlowState::kHalfOpen;
-  bool mIsAnswered = false;         ///< the upstream's SYN-ACK was seen
-  bool mIsBusy = false;             ///< the last payload went towards the upstream
-  bool mHasCallerFin = false;       ///< the caller sent FIN
-  bool mHasUpstreamFin = false;     ///< the upstream sent FIN
-  bool mKnowsUpstreamNext = false;  ///< mUpstreamNext is valid
-  std::uint32_t mCallerInitial = 0; ///< the caller's initial sequence number
+  bool mIsAnswered = false;          ///< the upstream's SYN-ACK was seen
+  bool mIsBusy = false;              ///< the last payload went towards the upstream
+  bool mHasCallerFin = false;        ///< the caller sent FIN
+  bool mHasUpstreamFin = false;      ///< the upstream sent FIN
+  bool mKnowsUpstreamNext = false;   ///< mUpstreamNext is valid
+  std::uint32_t mCallerInitial = 0;  ///< the caller's initial sequence number
+  std::uint32_t mPendingInitial = 0; ///< of a SYN that reuses the port of this flow; 0 if none
   std::uint32_t mUpstreamNext = 0; ///< highest sequence number that the upstream has sent, plus one
   base::Time mLastSeen;            ///< last packet in either direction
   base::Time mBusySince;           ///< start of the request in progress
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -104,6 +104,11 @@
 
 std::vector<flow::Endpoint> FailureDetector::takeProbes(base::Time aNow)
 {
+  if (mLastRun && aNow - *mLastRun > mSettings.mMaxGap) {
+    mPeers.clear();
+    mSuspects = 0;
+  }
+  mLastRun = aNow;
   forgetUnused(aNow);
   std::vector<flow::Endpoint> due;
   for (const auto& [endpoint, peer] : mPeers) {
@@ -131,10 +136,4 @@
   return due;
 }
 
-void FailureDetector::reset()
-{
-  mPeers.clear();
-  mSuspects = 0;
-}
-
 } // namespace cornelcross::membership
--- a/src/membership/failure_detector.hpp
+++ b/src/membership/failure_detector.hpp
@@ -3,6 +3,7 @@
 #include "flow/endpoint.hpp"
 #include "membership/failure_detector_settings.hpp"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -36,13 +37,11 @@
   /// @return number of suspects
   std::size_t deferSuspects(std::vector<flow::Endpoint>& aPeers, std::size_t aFrom) const;
 
-  /// @brief Peers to probe now, within the bound on probes; called a few times a second.
+  /// @brief Peers to probe now, within the bound on probes; called a few times a second. Forgets
+  /// all suspicions after a pause of this process, in which the silence was its own.
   /// @note O(n) for n peers in use
   std::vector<flow::Endpoint> takeProbes(base::Time aNow);
 
-  /// @brief Forgets everything: this process was paused, so that silence says nothing.
-  void reset();
-
   /// @brief Peers suspected now.
   std::size_t suspects() const { return mSuspects; }
 
@@ -69,6 +68,7 @@
   std::unordered_map<flow::Endpoint, Peer, flow::EndpointHash> mPeers;
   std::size_t mSuspects = 0;
   std::uint64_t mProbes = 0;
+  std::optional<base::Time> mLastRun;
   base::Time mBudgetSince;
   std::size_t mBudgetUsed = 0;
 };
--- a/src/membership/failure_detector_settings.hpp
+++ b/src/membership/failure_detector_settings.hpp
@@ -15,6 +15,8 @@
   base::Duration mSuspectInterval = std::chrono::seconds(1);     ///< between probes of a suspect
   base::Duration mDeadAfter = std::chrono::seconds(60);          ///< of suspicion
   base::Duration mForgetAfter = std::chrono::seconds(30);        ///< without a use of the peer
+  base::Duration mMaxGap =
+    std::chrono::seconds(1); ///< between runs of a process that is not paused
   std::uint32_t mMaxProbesPerSecond = 100;
 
   auto operator<=>(const FailureDetectorSettings&) const = default;
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -182,6 +182,59 @@
   BOOST_TEST(mAgent.revision() == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(keeps_a_half_open_flow_when_a_segment_of_an_earlier_connection_arrives)
+{
+  fromCaller(flow::kSyn, kCallerInitial, 0);
+  fromUpstream(flow::kSyn | flow::kAck, kUpstreamInitial, kCallerInitial + 1);
+  const auto stale = fromCaller(flow::kAck, kCallerInitial - 50000, 77);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(stale) == nullptr);
+  const auto acknowledged = fromCaller(flow::kAck, kCallerInitial + 1, kUpstreamInitial + 1);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(acknowledged) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(renews_its_record_when_a_restarted_upstream_accepts_a_reused_port)
+{
+  establish();
+  fromCaller(flow::kSyn, 77000, 0);
+  fromUpstream(flow::kSyn | flow::kAck, 0xF0000000U, 77001);
+  const auto acknowledged = fromCaller(flow::kAck, 77001, 0xF0000001U);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(acknowledged) != nullptr);
+  BOOST_TEST(mAgent.admission().flows() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(gives_no_reused_port_to_a_leaving_upstream_with_an_old_record)
+{
+  establish();
+  auto configuration = makeConfiguration(3, 2);
+  configuration.mServices.at("logbook").mUpstreams[0].mState = config::UpstreamState::kLeaving;
+  mAgent.apply(mNow, share(configuration));
+  const auto actions = fromCaller(flow::kSyn, 77000, 0);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(actions) == nullptr);
+  BOOST_TEST(findAction<agent::SendMessage>(actions) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(forgets_its_flows_when_its_upstream_is_another_vm)
+{
+  establish();
+  auto configuration = makeConfiguration(3, 2);
+  configuration.mServices.at("logbook").mUpstreams[0].mAddress.mPort = 7002;
+  mAgent.apply(mNow, share(configuration));
+  BOOST_TEST(mAgent.flows().size() == 0U);
+  BOOST_TEST(mAgent.admission().flows() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(sends_new_flows_elsewhere_while_its_upstream_refuses_them)
+{
+  fromCaller(flow::kSyn, kCallerInitial, 0);
+  const auto held = fromUpstream(flow::kRst | flow::kAck, 0, kCallerInitial + 1);
+  BOOST_TEST(findAction<agent::SendToCaller>(held) == nullptr);
+  const auto again = fromCaller(flow::kSyn, kCallerInitial, 0);
+  BOOST_TEST(findAction<agent::SendMessage>(again) != nullptr);
+  mNow += std::chrono::seconds(1);
+  const auto retried = fromCaller(flow::kSyn, kCallerInitial, 0);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(retried) != nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(restarted_agent, RestartedAgent)
--- a/tests/unit/test_failure_detector.cpp
+++ b/tests/unit/test_failure_detector.cpp
@@ -53,6 +53,14 @@
   BOOST_TEST(!mDetector.isSuspected(kPeer));
 }
 
+BOOST_AUTO_TEST_CASE(suspects_nobody_for_a_silence_that_was_a_pause_of_its_own)
+{
+  use(kPeer, 600ms);
+  mNow += 10s;
+  use(kPeer, 500ms);
+  BOOST_TEST(!mDetector.isSuspected(kPeer));
+}
+
 BOOST_AUTO_TEST_CASE(goes_on_probing_a_suspect_that_stays_in_demand)
 {
   use(kPeer, 2s);
--- /dev/null
+++ b/tests/unit/test_upstream_watch.cpp
@@ -0,0 +1,32 @@
+#include "agent/upstream_watch.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(upstream_watch)
+
+BOOST_AUTO_TEST_CASE(lets_one_syn_a_second_through_to_an_upstream_that_answers_none)
+{
+  agent::UpstreamWatch watch;
+  base::Time now{ 100s };
+  for (int i = 0; i < 3; ++i, now += 200ms) {
+    BOOST_TEST(watch.mayOpen(now));
+    watch.noteSyn(now);
+  }
+  BOOST_TEST(!watch.mayOpen(now));
+  BOOST_TEST(watch.mayOpen(now + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(takes_an_upstream_that_accepts_again_for_whole)
+{
+  agent::UpstreamWatch watch;
+  const base::Time now{ 100s };
+  watch.noteRefused(now);
+  BOOST_TEST(watch.isDown(now));
+  watch.noteAccepted();
+  BOOST_TEST(watch.mayOpen(now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
