Probe both ends of silent flows and end those whose other end is gone

Cause: a flow stayed on record, and its connection at the upstream, for up to 12 h after its caller or whatever lies between had lost it; nothing kept an idle flow known to the elements in between.

Ruled out: probing from the balancers, which hold no flows; a limit of minutes on silence without probes, which breaks idle sessions.

--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/keep_alive_settings.hpp"
 #include "base/time.hpp"
 #include "flow/endpoint.hpp"
 
@@ -13,6 +14,7 @@
   std::uint32_t mMaxFlows = 2000;   ///< connections that the upstream holds at most
   /// For so long after its start an agent's records may lack flows of its upstream.
   base::Duration mRecoveryWindow = std::chrono::hours(12);
+  KeepAliveSettings mKeepAlive = {};
   base::Duration mHalfOpenTimeout = std::chrono::seconds(30);
   base::Duration mClosingTimeout = std::chrono::seconds(60);
   base::Duration mIdleTimeout = std::chrono::hours(12);
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -27,6 +27,15 @@
   return aPacket.mSequence - aRecord.mCallerInitial <= kAckWindow;
 }
 
+void noteCaller(base::Time aNow, FlowRecord& aRecord, std::uint32_t aNext)
+{
+  const bool isAhead = static_cast<std::int32_t>(aNext - aRecord.mCallerNext) > 0;
+  aRecord.mCallerNext = !aRecord.mKnowsCallerNext || isAhead ? aNext : aRecord.mCallerNext;
+  aRecord.mKnowsCallerNext = true;
+  aRecord.mLastCaller = aNow;
+  aRecord.mCallerProbes = 0;
+}
+
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
 {
   return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
@@ -40,6 +49,7 @@
   , mConfiguration(std::make_shared<const config::Configuration>())
   , mAdmission(aSettings.mMaxFlows)
   , mChain(mPeers)
+  , mKeepAlive(aSettings.mKeepAlive)
 {
 }
 
@@ -252,6 +262,7 @@
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
   aRecord.mLastSeen = aNow;
+  noteCaller(aNow, aRecord, aPacket.nextSequence());
   trackCallerPayload(aNow, aRecord, aPacket);
   Actions actions;
   actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket });
@@ -369,6 +380,11 @@
     record->mKnowsUpstreamNext = true;
   }
   record->mLastSeen = aNow;
+  record->mLastUpstream = aNow;
+  record->mUpstreamProbes = 0;
+  if (!record->mKnowsCallerNext && packet->has(flow::kAck)) {
+    noteCaller(aNow, *record, packet->mAcknowledgement);
+  }
   trackUpstreamPayload(aNow, *record, *packet);
   record->mHasUpstreamFin = record->mHasUpstreamFin || packet->has(flow::kFin);
   if (record->mHasCallerFin && record->mHasUpstreamFin) {
@@ -411,6 +427,17 @@
              { "verdict", std::string(toString(verdictOf(aRecord))) } } };
 }
 
+void Decisions::keepAlive(base::Time aNow, Actions& aActions)
+{
+  if (!mUpstream || !mConfiguration->mayReceive(*mUpstream)) {
+    return;
+  }
+  mKeepAlive.beginRound();
+  mFlows.forEach([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
+    aRecord.mIsSilent = mKeepAlive.check(aNow, aFlow, mUpstream->mAddress, aRecord, aActions);
+  });
+}
+
 bool Decisions::isExpired(base::Time aNow, const FlowRecord& aRecord) const
 {
   const base::Duration idle = aNow - aRecord.mLastSeen;
@@ -429,11 +456,12 @@
 {
   mInquiry.expire(aNow);
   Actions actions;
+  keepAlive(aNow, actions);
   mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
-    if (!isExpired(aNow, aRecord)) {
+    if (!aRecord.mIsSilent && !isExpired(aNow, aRecord)) {
       return false;
     }
-    actions.emplace_back(close(aNow, aFlow, aRecord, "expired"));
+    actions.emplace_back(close(aNow, aFlow, aRecord, aRecord.mIsSilent ? "silent" : "expired"));
     return true;
   });
   return actions;
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -5,6 +5,7 @@
 #include "agent/agent_settings.hpp"
 #include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
+#include "agent/keep_alive.hpp"
 #include "agent/upstream_inquiry.hpp"
 #include "agent/upstream_watch.hpp"
 #include "config/configuration.hpp"
@@ -80,6 +81,7 @@
                  const flow::TcpPacket& aPacket,
                  FlowRecord& aRecord,
                  Actions& aActions);
+  void keepAlive(base::Time aNow, Actions& aActions);
   bool isExpired(base::Time aNow, const FlowRecord& aRecord) const;
 
   AgentSettings mSettings;
@@ -93,6 +95,7 @@
   Chain mChain;
   UpstreamInquiry mInquiry;
   UpstreamWatch mUpstreamWatch;
+  KeepAlive mKeepAlive;
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
 };
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -23,10 +23,18 @@
   bool mIsBusy = false;              ///< the last payload went towards the upstream
   bool mHasCallerFin = false;        ///< the caller sent FIN
   bool mHasUpstreamFin = false;      ///< the upstream sent FIN
+  bool mKnowsCallerNext = false;     ///< mCallerNext is valid
+  bool mIsSilent = false;            ///< an end left its keep-alive probes unanswered
   bool mKnowsUpstreamNext = false;   ///< mUpstreamNext is valid
   std::uint32_t mCallerInitial = 0;  ///< the caller's initial sequence number
   std::uint32_t mPendingInitial = 0; ///< of a SYN that reuses the port of this flow; 0 if none
+  std::uint32_t mCallerNext = 0;     ///< highest sequence number that the caller has sent, plus one
+  std::uint32_t mCallerProbes = 0;   ///< keep-alive probes since the caller was heard
+  std::uint32_t mUpstreamProbes = 0; ///< keep-alive probes since the upstream was heard
   std::uint32_t mUpstreamNext = 0; ///< highest sequence number that the upstream has sent, plus one
+  base::Time mLastCaller;          ///< last packet of the caller
+  base::Time mLastUpstream;        ///< last packet of the upstream
+  base::Time mLastKeepAlive;       ///< last probe
   base::Time mLastSeen;            ///< last packet in either direction
   base::Time mBusySince;           ///< start of the request in progress
 
--- a/src/agent/flow_table.cpp
+++ b/src/agent/flow_table.cpp
@@ -25,4 +25,11 @@
                 [&](const auto& aEntry) { return aIsExpired(aEntry.first, aEntry.second); });
 }
 
+void FlowTable::forEach(const std::function<void(const flow::FlowKey&, FlowRecord&)>& aVisit)
+{
+  for (auto& [key, record] : mRecords) {
+    aVisit(key, record);
+  }
+}
+
 } // namespace cornelcross::agent
--- a/src/agent/flow_table.hpp
+++ b/src/agent/flow_table.hpp
@@ -24,6 +24,9 @@
   /// @brief Removes each record for which aIsExpired holds. @note O(n)
   void eraseIf(const std::function<bool(const flow::FlowKey&, const FlowRecord&)>& aIsExpired);
 
+  /// @brief Visits each record. @note O(n)
+  void forEach(const std::function<void(const flow::FlowKey&, FlowRecord&)>& aVisit);
+
   /// @brief Records held.
   std::size_t size() const { return mRecords.size(); }
 
--- a/src/flow/packet_edit.cpp
+++ b/src/flow/packet_edit.cpp
@@ -49,28 +49,41 @@
   write16(segment, 16, finishSum(sumWords(segment, pseudo)));
 }
 
-Bytes makeReset(const TcpPacket& aPacket)
+Bytes makeControl(Endpoint aFrom,
+                  Endpoint aTo,
+                  std::uint8_t aFlags,
+                  std::uint32_t aSequence,
+                  std::uint32_t aAcknowledgement)
 {
+  constexpr std::uint16_t kWindow = 65535; // bytes, unscaled
   Bytes bytes(kIpHeader + kTcpHeader);
   const std::span<std::byte> out(bytes);
   out[0] = std::byte{ 0x45 };
   write16(out, 2, static_cast<std::uint16_t>(out.size()));
   out[8] = std::byte{ kDefaultTtl };
   out[9] = std::byte{ kProtocolTcp };
-  write32(out, 12, aPacket.mDestination.mAddress.mValue);
-  write32(out, 16, aPacket.mSource.mAddress.mValue);
+  write32(out, 12, aFrom.mAddress.mValue);
+  write32(out, 16, aTo.mAddress.mValue);
   const auto tcp = out.subspan(kIpHeader);
-  write16(tcp, 0, aPacket.mDestination.mPort);
-  write16(tcp, 2, aPacket.mSource.mPort);
-  const bool hasAck = aPacket.has(kAck);
-  write32(tcp, 4, hasAck ? aPacket.mAcknowledgement : 0);
-  write32(tcp, 8, hasAck ? 0 : aPacket.nextSequence());
+  write16(tcp, 0, aFrom.mPort);
+  write16(tcp, 2, aTo.mPort);
+  write32(tcp, 4, aSequence);
+  write32(tcp, 8, aAcknowledgement);
   tcp[12] = std::byte{ (kTcpHeader / 4) << 4U };
-  tcp[13] = static_cast<std::byte>(hasAck ? kRst : kRst | kAck);
+  tcp[13] = std::byte{ aFlags };
+  write16(tcp, 14, (aFlags & kRst) != 0 ? 0 : kWindow);
   updateChecksums(out, kIpHeader);
   return bytes;
 }
 
+Bytes makeReset(const TcpPacket& aPacket)
+{
+  return aPacket.has(kAck)
+           ? makeControl(aPacket.mDestination, aPacket.mSource, kRst, aPacket.mAcknowledgement, 0)
+           : makeControl(
+               aPacket.mDestination, aPacket.mSource, kRst | kAck, 0, aPacket.nextSequence());
+}
+
 void stripSynPayload(Bytes& aBytes, const TcpPacket& aPacket)
 {
   if (aPacket.mPayloadLength == 0 || !base::mechanisms().mStripSynData) {
--- a/src/flow/packet_edit.hpp
+++ b/src/flow/packet_edit.hpp
@@ -9,6 +9,13 @@
 /// @brief Owned bytes of one packet or datagram.
 using Bytes = std::vector<std::byte>;
 
+/// @brief TCP segment without payload and options.
+Bytes makeControl(Endpoint aFrom,
+                  Endpoint aTo,
+                  std::uint8_t aFlags,
+                  std::uint32_t aSequence,
+                  std::uint32_t aAcknowledgement);
+
 /// @brief RST that answers aPacket in the name of its destination (RFC 9293, section 3.5.2).
 /// @note Never answer a RST with a RST; callers check that.
 Bytes makeReset(const TcpPacket& aPacket);
