--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -60,10 +60,9 @@
   }
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
-  const std::optional<config::Upstream> before = std::move(mUpstream);
+  const auto before = std::exchange(mUpstream, std::nullopt);
   const std::uint64_t serviceBefore = mService;
   const flow::Endpoint addressBefore = mServiceAddress;
-  mUpstream.reset();
   mChain.configure(mConfiguration, nullptr);
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
@@ -76,11 +75,18 @@
       }
     }
   }
+  Actions actions;
   // Another VM, or the same one for another service, has none of the flows that are on record.
   const bool isAnother = before && mUpstream &&
                          (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
                           addressBefore != mServiceAddress);
-  return isAnother ? releaseFlows(aNow) : Actions{};
+  if (isAnother) {
+    actions = releaseFlows(aNow);
+  }
+  if (before != mUpstream) {
+    actions.emplace_back(assignment());
+  }
+  return actions;
 }
 
 Actions Decisions::releaseFlows(base::Time aNow)
@@ -96,6 +102,18 @@
   return actions;
 }
 
+telemetry::Event Decisions::assignment() const
+{
+  if (!mUpstream) {
+    return { telemetry::EventKind::kUpstreamAssigned, { { "upstream", "none" } } };
+  }
+  return { telemetry::EventKind::kUpstreamAssigned,
+           { { "upstream", mUpstream->mName },
+             { "service", mServiceAddress.toString() },
+             { "zone", mUpstream->mZone },
+             { "state", std::string(toString(mUpstream->mState)) } } };
+}
+
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
 {
   const auto packet = flow::TcpPacket::parse(aForward.mPacket);
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -82,6 +82,7 @@
                  FlowRecord& aRecord,
                  Actions& aActions);
   void keepAlive(base::Time aNow, Actions& aActions);
+  telemetry::Event assignment() const;
   bool isExpired(base::Time aNow, const FlowRecord& aRecord) const;
 
   AgentSettings mSettings;
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -38,7 +38,7 @@
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mMembership.mayForward(); })
+      [this] { return mMembership.mayForward() ? net::Health::kReady : net::Health::kStarting; })
 {
 }
 
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -18,6 +18,7 @@
   kConfigUnavailable,
   kConfigConfirmed,
   kProcessPaused,
+  kUpstreamAssigned,
   kFlowOpened,
   kFlowClosed,
   kFlowRefused,
