--- a/src/membership/flags.cpp
+++ b/src/membership/flags.cpp
@@ -4,13 +4,19 @@
 #include <random>
 #include <sstream>
 
-DEFINE_string(config_service, "", "ADDRESS:PORT of the configuration service");
-DEFINE_string(peers, "", "ADDRESS:PORT,... of processes that a starting process asks");
-DEFINE_string(zone, "", "availability zone; an agent's is taken from the configuration if empty");
+DEFINE_string(config_service, "", "[Addresses] ADDRESS:PORT of the configuration service");
+DEFINE_string(peers,
+              "",
+              "[Configuration] ADDRESS:PORT,... of processes that a starting process asks");
+DEFINE_string(
+  zone,
+  "",
+  "[Configuration] availability zone; an agent's is taken from the configuration if empty");
 DEFINE_uint32(config_readers,
               2,
-              "processes of a zone that read the configuration service all the time; 0 for all");
-DEFINE_uint32(control_budget, 20000, "bytes a second of control traffic");
+              "[Configuration] processes of a zone that read the configuration service all the "
+              "time; 0 for all");
+DEFINE_uint32(control_budget, 20000, "[Limits] bytes a second of control traffic");
 
 namespace cornelcross::membership {
 
