Fit figures against the logarithm of the size too

Cause: the time until a change is in force grew from 131 to 1,137 ms over 5 to 80 processes and flattened; a line through it (residual 185 ms) says nothing about 24,500. Change: each figure is fitted against the size and its base-2 logarithm.

--- a/bench/control/main.cpp
+++ b/bench/control/main.cpp
@@ -8,10 +8,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <filesystem>
 #include <functional>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <iterator>
 #include <sstream>
 #include <thread>
 
@@ -146,6 +148,16 @@
   return figures;
 }
 
+void printFit(const std::string& aName,
+              const std::string& aAgainst,
+              const std::vector<double>& aX,
+              const std::vector<double>& aY)
+{
+  const LinearFit fit = LinearFit::of(aX, aY);
+  std::cout << "fit=" << aName << " against=" << aAgainst << " intercept=" << fit.mIntercept
+            << " slope=" << fit.mSlope << " residual=" << fit.mResidual << '\n';
+}
+
 void measure(const std::string& aSize,
              const std::vector<std::uint32_t>& aSizes,
              const std::function<Figures(std::uint32_t)>& aMeasure)
@@ -167,10 +179,14 @@
   if (x.size() < 2) {
     return;
   }
+  std::vector<double> logarithms;
+  std::transform(x.begin(), x.end(), std::back_inserter(logarithms), [](double aValue) {
+    return std::log2(aValue);
+  });
   for (const auto& [name, values] : columns) {
-    const LinearFit fit = LinearFit::of(x, values);
-    std::cout << "fit=" << name << " against=" << aSize << " intercept=" << fit.mIntercept
-              << " slope=" << fit.mSlope << " residual=" << fit.mResidual << '\n';
+    printFit(name, aSize, x, values);
+    // An epidemic takes a number of rounds that grows with the logarithm.
+    printFit(name, "log2_" + aSize, logarithms, values);
   }
 }
 
