Bound the debt of the control budget

Cause: a balancer that had read 12,000 services (4.0 MB) from the service was 200 s in debt and answered neither questions nor pulls: a fresh process with no service got nothing in 45 s. Ruled out: the peer's connections and hints (its questions arrived: 5,130 bytes counted). Change: unasked traffic puts the bucket into debt by half its size at most, and confirmations may use the other half. Measured: the new case of control_budget fails without the change and passes with it.

--- a/src/membership/control_budget.hpp
+++ b/src/membership/control_budget.hpp
@@ -17,7 +17,8 @@
   /// @brief Takes aBytes for a message of aKind; false if the message has to wait.
   bool take(base::Time aNow, ControlKind aKind, std::size_t aBytes);
 
-  /// @brief Charges traffic that was not asked for; the bucket may go into debt.
+  /// @brief Charges traffic that did not ask before; the bucket goes into debt by half its size at
+  /// most.
   void charge(base::Time aNow, std::size_t aBytes);
 
   /// @brief Bytes that the most important kind may use now; negative in debt.
--- a/tests/unit/test_control_budget.cpp
+++ b/tests/unit/test_control_budget.cpp
@@ -48,6 +48,16 @@
   BOOST_TEST(queue.drain(kStart + 500ms).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_process_that_read_megabytes_answers_questions_and_soon_does_the_rest)
+{
+  membership::ControlBudget budget(20000, 5s);
+  budget.charge(kStart, 4000000);
+  BOOST_TEST(budget.take(kStart, ControlKind::kConfirmation, 100));
+  BOOST_TEST(!budget.take(kStart, ControlKind::kPull, 100));
+  BOOST_TEST(budget.take(kStart + 3s, ControlKind::kPull, 100));
+  BOOST_TEST(budget.take(kStart + 4s, ControlKind::kHeartbeat, 100));
+}
+
 BOOST_AUTO_TEST_CASE(the_rate_holds_in_the_long_run_whatever_is_offered)
 {
   membership::ControlBudget budget(20000, 5s);
