Expose metrics and status, and document every event

Cause: operators saw three counters, drops without the reasons that had not yet occurred, no flows or limits, and events that no page explained. Ruled out: updating gauges on each packet, which costs the data path; values are read when somebody asks. Ruled out: listing 21,000 upstreams in a balancer's status; of a large configuration only the unusual ones are listed. Change: metrics of process, sockets, configuration, flows and limits; /status with upstreams, load and last refusals; docs/EVENTS.md and docs/METRICS.md as closed lists. Conclusion: an event or metric without documentation fails the tests.

--- /dev/null
+++ b/src/agent/agent_metrics.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "agent/decisions.hpp"
+#include "telemetry/drop_counter.hpp"
+
+namespace cornelcross::agent {
+
+/// @brief What an agent counts. docs/METRICS.md lists it.
+class AgentMetrics
+{
+public:
+  /// @brief Registers everything; gauges are read from aDecisions when they are asked for.
+  AgentMetrics(telemetry::Metrics& aMetrics, const Decisions& aDecisions);
+
+  /// @brief Counts what an event tells.
+  void note(const telemetry::Event& aEvent);
+
+  /// @brief Counts a dropped datagram.
+  void noteDrop(std::string_view aReason) { mDrops.count(aReason); }
+
+private:
+  telemetry::DropCounter mDrops;
+  prometheus::Counter& mOpened;
+  prometheus::Counter& mClosed;
+  prometheus::Counter& mRefused;
+  prometheus::Counter& mAdopted;
+};
+
+} // namespace cornelcross::agent
--- /dev/null
+++ b/src/agent/agent_status.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "agent/decisions.hpp"
+#include "telemetry/recent_events.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cornelcross::agent {
+
+/// @brief Document for /status: revision, upstream with state and load, limits, last refusals.
+nlohmann::json makeStatus(const std::string& aName,
+                          const Decisions& aDecisions,
+                          const telemetry::RecentEvents& aRefusals);
+
+} // namespace cornelcross::agent
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -50,6 +50,12 @@
   /// @brief This agent's upstream under the configuration in force.
   const std::optional<config::Upstream>& upstream() const { return mUpstream; }
 
+  /// @brief True if the upstream may be given new flows, apart from its load.
+  bool mayOpen() const { return mUpstream && mConfiguration->mayOpen(*mUpstream); }
+
+  /// @brief True if the upstream may receive packets.
+  bool mayReceive() const { return mUpstream && mConfiguration->mayReceive(*mUpstream); }
+
   /// @brief Limits and load.
   const admission::AdmissionControl& admission() const { return mAdmission; }
 
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -1,6 +1,8 @@
 #include "agent/shell.hpp"
 
-#include <prometheus/counter.h>
+#include "agent/agent_status.hpp"
+#include "net/socket_metrics.hpp"
+#include "telemetry/process_metrics.hpp"
 
 namespace cornelcross::agent {
 
@@ -9,6 +11,8 @@
 constexpr base::Duration kTick = std::chrono::seconds(1);
 constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
 
+constexpr std::size_t kRefusalsKept = 16;
+
 bool isFlowEvent(const telemetry::Event& aEvent)
 {
   using telemetry::EventKind;
@@ -23,17 +27,28 @@
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAgent)
   , mSocket(aSettings.mListen)
+  , mAgentMetrics(mMetrics, mDecisions)
+  , mConfigMetrics(mMetrics)
+  , mRefusals(kRefusalsKept)
   , mConfig(aSettings.mConfigService,
             mLog,
             [this](config::ConfigurationPtr aConfiguration) {
-              perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
+              onConfiguration(std::move(aConfiguration));
             })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
-      [this] { return status(); },
+      [this] { return makeStatus(mSettings.mName, mDecisions, mRefusals); },
       [this] { return mDecisions.revision() > 0 ? net::Health::kReady : net::Health::kStarting; })
 {
+  telemetry::registerProcessMetrics(mMetrics, "agent");
+  net::registerSocketMetrics(mMetrics, mSocket);
+}
+
+void Shell::onConfiguration(config::ConfigurationPtr aConfiguration)
+{
+  mConfigMetrics.update(*aConfiguration);
+  perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
 }
 
 void Shell::run()
@@ -68,7 +83,7 @@
   }
   const auto& upstream = mDecisions.upstream();
   if (!upstream || aFrom != upstream->mAddress) {
-    countDrop("unknown_sender");
+    mAgentMetrics.noteDrop("unknown_sender");
     return;
   }
   perform(mDecisions.onUpstreamPacket(net::MainLoop::now(),
@@ -79,7 +94,7 @@
 {
   auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
-    countDrop(wire::toString(*error));
+    mAgentMetrics.noteDrop(wire::toString(*error));
     return;
   }
   auto& frame = std::get<wire::Frame>(decoded);
@@ -117,38 +132,18 @@
 
 void Shell::perform(const DropPacket& aAction)
 {
-  countDrop(toString(aAction.mReason));
+  mAgentMetrics.noteDrop(toString(aAction.mReason));
 }
 
 void Shell::perform(const telemetry::Event& aEvent)
 {
+  mAgentMetrics.note(aEvent);
+  if (aEvent.mKind == telemetry::EventKind::kFlowRefused) {
+    mRefusals.add(telemetry::wallClockMicroseconds(), aEvent);
+  }
   if (mSettings.mLogFlows || !isFlowEvent(aEvent)) {
     mLog.write(aEvent);
   }
 }
 
-void Shell::countDrop(std::string_view aReason)
-{
-  mMetrics
-    .counter("cornelcross_datagrams_dropped_total",
-             "Datagrams dropped, by reason",
-             { { "reason", std::string(aReason) } })
-    .Increment();
-}
-
-nlohmann::json Shell::status() const
-{
-  const auto& admission = mDecisions.admission();
-  const auto& upstream = mDecisions.upstream();
-  return { { "name", mSettings.mName },
-           { "role", "agent" },
-           { "revision", mDecisions.revision() },
-           { "upstream", upstream ? upstream->mName : "" },
-           { "state", upstream ? std::string(toString(upstream->mState)) : "unlisted" },
-           { "flows", mDecisions.flows().size() },
-           { "suspected_agents", mDecisions.peers().suspects() },
-           { "busy", admission.busy() },
-           { "limit", admission.limit() } };
-}
-
 } // namespace cornelcross::agent
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "agent/agent_metrics.hpp"
 #include "agent/decisions.hpp"
 #include "net/admin_server.hpp"
 #include "net/config_reader.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
+#include "telemetry/config_metrics.hpp"
+#include "telemetry/recent_events.hpp"
 #include "wire/codec.hpp"
 
 namespace cornelcross::agent {
@@ -41,8 +44,7 @@
   void perform(SendMessage& aAction);
   void perform(const DropPacket& aAction);
   void perform(const telemetry::Event& aEvent);
-  void countDrop(std::string_view aReason);
-  nlohmann::json status() const;
+  void onConfiguration(config::ConfigurationPtr aConfiguration);
 
   ShellSettings mSettings;
   net::MainLoop mLoop;
@@ -50,6 +52,9 @@
   telemetry::Metrics mMetrics;
   Decisions mDecisions;
   net::UdpSocket mSocket;
+  AgentMetrics mAgentMetrics;
+  telemetry::ConfigMetrics mConfigMetrics;
+  telemetry::RecentEvents mRefusals;
   net::ConfigReader mConfig;
   net::AdminServer mAdmin;
 };
--- /dev/null
+++ b/src/balancer/balancer_status.cpp
@@ -0,0 +1,77 @@
+#include "balancer/balancer_status.hpp"
+
+namespace cornelcross::balancer {
+
+namespace {
+
+constexpr std::size_t kMaxListed = 1000; // upstreams
+
+nlohmann::json describe(const std::string& aService,
+                        const config::Upstream& aUpstream,
+                        const config::Configuration& aConfiguration,
+                        bool aIsSuspected)
+{
+  return { { "service", aService },
+           { "name", aUpstream.mName },
+           { "agent", aUpstream.mAgent.toString() },
+           { "zone", aUpstream.mZone },
+           { "state", std::string(toString(aUpstream.mState)) },
+           { "eligible", aConfiguration.mayOpen(aUpstream) },
+           { "receives", aConfiguration.mayReceive(aUpstream) },
+           { "suspected", aIsSuspected } };
+}
+
+nlohmann::json describeZones(const config::Configuration& aConfiguration)
+{
+  nlohmann::json zones = nlohmann::json::object();
+  for (const auto& [name, zone] : aConfiguration.mZones) {
+    zones[name] = zone.mIsIn ? "in" : "out";
+  }
+  return zones;
+}
+
+std::size_t countUpstreams(const config::Configuration& aConfiguration)
+{
+  std::size_t count = 0;
+  for (const auto& [name, service] : aConfiguration.mServices) {
+    count += service.mUpstreams.size();
+  }
+  return count;
+}
+
+nlohmann::json listUpstreams(const Decisions& aDecisions, bool aOnlyUnusual)
+{
+  const config::Configuration& configuration = aDecisions.configuration();
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const auto& [name, service] : configuration.mServices) {
+    for (const config::Upstream& upstream : service.mUpstreams) {
+      const bool isSuspected = aDecisions.peers().isSuspected(upstream.mAgent);
+      const bool isUnusual = isSuspected || !configuration.mayOpen(upstream);
+      if (upstreams.size() < kMaxListed && (isUnusual || !aOnlyUnusual)) {
+        upstreams.push_back(describe(name, upstream, configuration, isSuspected));
+      }
+    }
+  }
+  return upstreams;
+}
+
+} // namespace
+
+nlohmann::json makeStatus(const std::string& aName, const Decisions& aDecisions, bool aIsStopping)
+{
+  const config::Configuration& configuration = aDecisions.configuration();
+  const std::size_t upstreams = countUpstreams(configuration);
+  const bool onlyUnusual = upstreams > kMaxListed;
+  return { { "name", aName },
+           { "role", "balancer" },
+           { "revision", aDecisions.revision() },
+           { "stopping", aIsStopping },
+           { "services", configuration.mServices.size() },
+           { "zones", describeZones(configuration) },
+           { "upstreams_total", upstreams },
+           { "lists_only_unusual_upstreams", onlyUnusual },
+           { "upstreams", listUpstreams(aDecisions, onlyUnusual) },
+           { "suspected_agents", aDecisions.peers().suspects() } };
+}
+
+} // namespace cornelcross::balancer
--- a/src/balancer/decisions.hpp
+++ b/src/balancer/decisions.hpp
@@ -34,6 +34,12 @@
   /// @brief Which agents answer.
   const membership::FailureDetector& peers() const { return mPeers; }
 
+  /// @brief Flows whose owner is remembered.
+  std::size_t rememberedOwners() const { return mOwners.size(); }
+
+  /// @brief What is in force.
+  const config::Configuration& configuration() const { return mTable.configuration(); }
+
   /// @brief Revision in force.
   std::uint64_t revision() const { return mTable.configuration().mRevision; }
 
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -1,6 +1,8 @@
 #include "balancer/shell.hpp"
 
-#include <prometheus/counter.h>
+#include "balancer/balancer_status.hpp"
+#include "net/socket_metrics.hpp"
+#include "telemetry/process_metrics.hpp"
 
 namespace cornelcross::balancer {
 
@@ -18,17 +20,27 @@
   , mConfig(aSettings.mConfigService,
             mLog,
             [this](config::ConfigurationPtr aConfiguration) {
-              mDecisions.apply(std::move(aConfiguration));
+              onConfiguration(std::move(aConfiguration));
             })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
-      [this] { return status(); },
+      [this] { return makeStatus(mSettings.mName, mDecisions, mIsStopping); },
       [this] { return health(); })
-  , mPath(mDecisions, mSocket, [this](DropReason aReason) { countDrop(toString(aReason)); })
-  , mPackets(mMetrics.counter("cornelcross_packets_received_total", "IP packets from the fabric"))
-  , mProbes(mMetrics.counter("cornelcross_probes_total", "Probes sent to peers"))
+  , mPath(mDecisions,
+          mSocket,
+          [this](DropReason aReason) { mBalancerMetrics.noteDrop(toString(aReason)); })
+  , mBalancerMetrics(mMetrics, mDecisions, mPath)
+  , mConfigMetrics(mMetrics)
 {
+  telemetry::registerProcessMetrics(mMetrics, "balancer");
+  net::registerSocketMetrics(mMetrics, mSocket);
+}
+
+void Shell::onConfiguration(config::ConfigurationPtr aConfiguration)
+{
+  mConfigMetrics.update(*aConfiguration);
+  mDecisions.apply(std::move(aConfiguration));
 }
 
 void Shell::run()
@@ -51,7 +63,6 @@
     onFrame(aDatagram, aFrom);
   } else {
     mPath.handle(net::MainLoop::now(), aDatagram);
-    mPackets.Increment();
   }
 }
 
@@ -59,7 +70,7 @@
 {
   const auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
-    countDrop(wire::toString(*error));
+    mBalancerMetrics.noteDrop(wire::toString(*error));
     return;
   }
   const auto& frame = std::get<wire::Frame>(decoded);
@@ -76,21 +87,11 @@
 void Shell::probePeers()
 {
   for (const flow::Endpoint peer : mDecisions.peers().takeProbes(net::MainLoop::now())) {
-    mProbes.Increment();
     mSocket.queue(peer, wire::encode({ mDecisions.revision(), wire::Probe{ ++mNonce } }));
   }
   mSocket.flush();
 }
 
-void Shell::countDrop(std::string_view aReason)
-{
-  mMetrics
-    .counter("cornelcross_datagrams_dropped_total",
-             "Datagrams dropped, by reason",
-             { { "reason", std::string(aReason) } })
-    .Increment();
-}
-
 net::Health Shell::health() const
 {
   if (mIsStopping) {
@@ -113,12 +114,4 @@
   mLoop.after(std::chrono::seconds(mSettings.mDrainSeconds), [this] { mLoop.quit(); });
 }
 
-nlohmann::json Shell::status() const
-{
-  return { { "name", mSettings.mName },
-           { "role", "balancer" },
-           { "revision", mDecisions.revision() },
-           { "suspected_agents", mDecisions.peers().suspects() } };
-}
-
 } // namespace cornelcross::balancer
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "balancer/balancer_metrics.hpp"
 #include "balancer/decisions.hpp"
 #include "balancer/packet_path.hpp"
 #include "net/admin_server.hpp"
 #include "net/config_reader.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
+#include "telemetry/config_metrics.hpp"
 #include "wire/codec.hpp"
 
 namespace cornelcross::balancer {
@@ -37,8 +39,7 @@
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void probePeers();
-  void countDrop(std::string_view aReason);
-  nlohmann::json status() const;
+  void onConfiguration(config::ConfigurationPtr aConfiguration);
   net::Health health() const;
   void onTerminate();
 
@@ -51,9 +52,9 @@
   net::ConfigReader mConfig;
   net::AdminServer mAdmin;
   PacketPath mPath;
-  prometheus::Counter& mPackets;
+  BalancerMetrics mBalancerMetrics;
+  telemetry::ConfigMetrics mConfigMetrics;
   bool mIsStopping = false;
-  prometheus::Counter& mProbes;
   std::uint64_t mNonce = 0;
 };
 
--- /dev/null
+++ b/src/net/socket_metrics.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "net/udp_socket.hpp"
+#include "telemetry/metrics.hpp"
+
+namespace cornelcross::net {
+
+/// @brief Registers the counters of a socket, which must live as long as aMetrics.
+void registerSocketMetrics(telemetry::Metrics& aMetrics, const UdpSocket& aSocket);
+
+} // namespace cornelcross::net
--- a/src/net/udp_socket.cpp
+++ b/src/net/udp_socket.cpp
@@ -100,6 +100,8 @@
     const auto index = static_cast<std::size_t>(i);
     const auto bytes =
       std::span<const std::byte>(mBuffers[index]).first(messages[index].bytes_received);
+    ++mCounts.mReceived;
+    mCounts.mReceivedBytes += bytes.size();
     mReceiver(bytes, toEndpoint(senders[index]));
     g_object_unref(senders[index]);
   }
@@ -145,11 +147,15 @@
     const gint count = g_socket_send_messages(mSocket, &messages[sent], left, 0, nullptr, nullptr);
     if (count <= 0) {
       // The first datagram left was not taken; skip it, as the network might have lost it.
-      ++mSendFailures;
+      ++mCounts.mSendFailures;
       ++sent;
       continue;
     }
-    sent += static_cast<std::size_t>(count);
+    const std::size_t end = sent + static_cast<std::size_t>(count);
+    for (; sent < end; ++sent) {
+      ++mCounts.mSent;
+      mCounts.mSentBytes += mOutgoing[sent].mBytes.size();
+    }
   }
   mOutgoing.clear();
 }
--- a/src/net/udp_socket.hpp
+++ b/src/net/udp_socket.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flow/packet_edit.hpp"
+#include "net/socket_counts.hpp"
 
 #include <functional>
 #include <gio/gio.h>
@@ -30,8 +31,11 @@
   /// @brief Sends what is queued. What the kernel doesn't take is counted and dropped.
   void flush();
 
+  /// @brief What went through so far.
+  const SocketCounts& counts() const { return mCounts; }
+
   /// @brief Datagrams that the kernel didn't take.
-  std::uint64_t sendFailures() const { return mSendFailures; }
+  std::uint64_t sendFailures() const { return mCounts.mSendFailures; }
 
 private:
   struct Outgoing
@@ -50,7 +54,7 @@
   std::vector<flow::Bytes> mBuffers;
   std::vector<Outgoing> mOutgoing;
   std::unordered_map<flow::Endpoint, GSocketAddress*, flow::EndpointHash> mAddresses;
-  std::uint64_t mSendFailures = 0;
+  SocketCounts mCounts;
 };
 
 } // namespace cornelcross::net
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -24,6 +24,13 @@
   return quoted + '"';
 }
 
+std::uint64_t wallClockMicroseconds()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
 EventLog::EventLog(std::string aProcess) : mProcess(std::move(aProcess))
 {
   el::Configurations configuration;
@@ -49,9 +56,7 @@
 
 void EventLog::write(const Event& aEvent) const
 {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-  LOG(INFO) << format(static_cast<std::uint64_t>(microseconds), mProcess, aEvent);
+  LOG(INFO) << format(wallClockMicroseconds(), mProcess, aEvent);
 }
 
 } // namespace cornelcross::telemetry
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -20,9 +20,22 @@
   return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(mRegistry).Add(aLabels);
 }
 
+void Metrics::onExpose(std::function<void()> aHook)
+{
+  mHooks.push_back(std::move(aHook));
+}
+
 std::string Metrics::expose() const
 {
+  for (const auto& hook : mHooks) {
+    hook();
+  }
   return prometheus::TextSerializer().Serialize(mRegistry.Collect());
 }
 
+void raiseTo(prometheus::Counter& aCounter, double aTotal)
+{
+  aCounter.Increment(aTotal - aCounter.Value());
+}
+
 } // namespace cornelcross::telemetry
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <prometheus/registry.h>
 #include <string>
+#include <vector>
 
 namespace cornelcross::telemetry {
 
@@ -23,11 +25,18 @@
                            const std::string& aHelp,
                            const Labels& aLabels = {});
 
+  /// @brief Calls aHook before each exposition, for values that are read when they are asked for.
+  void onExpose(std::function<void()> aHook);
+
   /// @brief Text exposition of every metric.
   std::string expose() const;
 
 private:
   prometheus::Registry mRegistry;
+  std::vector<std::function<void()>> mHooks;
 };
 
+/// @brief Raises a counter to aTotal, which never falls.
+void raiseTo(prometheus::Counter& aCounter, double aTotal);
+
 } // namespace cornelcross::telemetry
