--- a/src/agent/agent_metrics.cpp
+++ b/src/agent/agent_metrics.cpp
@@ -70,6 +70,7 @@
     mDrops.expect(toString(reason));
   }
   mDrops.expect("unknown_sender");
+  mDrops.expect("unconfirmed");
   for (const wire::DecodeError error : wire::kDecodeErrors) {
     mDrops.expect(wire::toString(error));
   }
--- a/src/agent/chain.hpp
+++ b/src/agent/chain.hpp
@@ -3,6 +3,9 @@
 #include "agent/actions.hpp"
 #include "config/configuration.hpp"
 #include "membership/failure_detector.hpp"
+#include "routing/service_routes.hpp"
+
+#include <optional>
 
 namespace cornelcross::agent {
 
@@ -36,7 +39,7 @@
 
   membership::FailureDetector& mPeers;
   config::ConfigurationPtr mConfiguration;
-  const config::Service* mService = nullptr;
+  std::optional<routing::ServiceRoutes> mRoutes;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,5 +1,6 @@
 #include "agent/shell.hpp"
 #include "base/settings.hpp"
+#include "membership/flags.hpp"
 
 #include <gflags/gflags.h>
 #include <iostream>
@@ -10,7 +11,6 @@
   "",
   "[Addresses] ADDRESS:PORT of this agent as the configuration lists it; --listen if empty");
 DEFINE_string(admin, "", "[Addresses] ADDRESS:PORT for /metrics, /status and /healthz");
-DEFINE_string(config_service, "", "[Addresses] ADDRESS:PORT of the configuration service");
 DEFINE_string(fabric,
               "",
               "[Addresses] ADDRESS:PORT to which IP packets for callers are sent in UDP");
@@ -44,7 +44,7 @@
   settings.mAgent.mMaxFlows = FLAGS_max_flows;
   settings.mAgent.mMaxSegment = static_cast<std::uint16_t>(FLAGS_max_segment);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
-  settings.mConfigService = check.endpoint("config_service", FLAGS_config_service);
+  settings.mMembership = membership::readFlags(check, settings.mAgent.mSelf, settings.mListen);
   settings.mFabric = check.endpoint("fabric", FLAGS_fabric);
   settings.mName = FLAGS_name;
   settings.mLogFlows = FLAGS_log_flows;
@@ -53,7 +53,7 @@
   check.reachable("advertise", settings.mAgent.mSelf);
   check.distinct({ { "listen", settings.mListen },
                    { "admin", settings.mAdmin },
-                   { "config_service", settings.mConfigService },
+                   { "config_service", settings.mMembership.mConfigService },
                    { "fabric", settings.mFabric } });
   check.require(!FLAGS_name.empty(), "--name: expected a non-empty name");
   if (check.report()) {
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -30,16 +30,22 @@
   , mAgentMetrics(mMetrics, mDecisions)
   , mConfigMetrics(mMetrics)
   , mRefusals(kRefusalsKept)
-  , mConfig(aSettings.mConfigService,
-            mLog,
-            [this](config::ConfigurationPtr aConfiguration) {
-              onConfiguration(std::move(aConfiguration));
-            })
+  , mMembership(
+      aSettings.mMembership,
+      mLog,
+      mMetrics,
+      [this](flow::Endpoint aTo, flow::Bytes aBytes) {
+        mSocket.queue(aTo, std::move(aBytes));
+        mSocket.flush();
+      },
+      [this](config::ConfigurationPtr aConfiguration) {
+        onConfiguration(std::move(aConfiguration));
+      })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
-      [this] { return makeStatus(mSettings.mName, mDecisions, mRefusals); },
-      [this] { return mDecisions.revision() > 0 ? net::Health::kReady : net::Health::kStarting; })
+      [this] { return status(); },
+      [this] { return mMembership.mayForward() ? net::Health::kReady : net::Health::kStarting; })
 {
   telemetry::registerProcessMetrics(mMetrics, "agent");
   net::registerSocketMetrics(mMetrics, mSocket);
@@ -70,7 +76,7 @@
   });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
-  mConfig.start();
+  mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
@@ -86,6 +92,10 @@
     mAgentMetrics.noteDrop("unknown_sender");
     return;
   }
+  if (!mMembership.mayForward()) {
+    mAgentMetrics.noteDrop("unconfirmed");
+    return;
+  }
   perform(mDecisions.onUpstreamPacket(net::MainLoop::now(),
                                       flow::Bytes(aDatagram.begin(), aDatagram.end())));
 }
@@ -98,12 +108,17 @@
     return;
   }
   auto& frame = std::get<wire::Frame>(decoded);
+  mMembership.onFrame(aFrom, frame, aDatagram.size());
   mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
   if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
     SendMessage reply{ aFrom, wire::ProbeReply{ probe->mNonce } };
     perform(reply);
   }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
+    if (!mMembership.mayForward()) {
+      mAgentMetrics.noteDrop("unconfirmed");
+      return;
+    }
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
   }
 }
@@ -127,7 +142,12 @@
 
 void Shell::perform(SendMessage& aAction)
 {
-  mSocket.queue(aAction.mTo, wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+  if (std::holds_alternative<wire::Forward>(aAction.mMessage)) {
+    mSocket.queue(aAction.mTo,
+                  wire::encode({ mDecisions.revision(), std::move(aAction.mMessage) }));
+    return;
+  }
+  mMembership.send(aAction.mTo, aAction.mMessage);
 }
 
 void Shell::perform(const DropPacket& aAction)
@@ -146,4 +166,11 @@
   }
 }
 
+nlohmann::json Shell::status() const
+{
+  nlohmann::json status = makeStatus(mSettings.mName, mDecisions, mRefusals);
+  status["membership"] = mMembership.status();
+  return status;
+}
+
 } // namespace cornelcross::agent
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -2,8 +2,8 @@
 
 #include "agent/agent_metrics.hpp"
 #include "agent/decisions.hpp"
+#include "membership/shell.hpp"
 #include "net/admin_server.hpp"
-#include "net/config_reader.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
 #include "telemetry/config_metrics.hpp"
@@ -15,13 +15,13 @@
 /// @brief Settings of an agent process.
 struct ShellSettings
 {
-  AgentSettings mAgent;          ///< settings of the decisions
-  flow::Endpoint mListen;        ///< datagrams from balancers, agents and the upstream
-  flow::Endpoint mAdmin;         ///< HTTP for metrics, status and health
-  flow::Endpoint mConfigService; ///< configuration service
-  flow::Endpoint mFabric;        ///< where IP packets for callers are sent
-  std::string mName;             ///< name in logs
-  bool mLogFlows = false;        ///< log an event for each flow
+  AgentSettings mAgent;   ///< settings of the decisions
+  flow::Endpoint mListen; ///< datagrams from balancers, agents and the upstream
+  flow::Endpoint mAdmin;  ///< HTTP for metrics, status and health
+  flow::Endpoint mFabric; ///< where IP packets for callers are sent
+  std::string mName;      ///< name in logs
+  membership::ShellSettings mMembership;
+  bool mLogFlows = false; ///< log an event for each flow
 
   auto operator<=>(const ShellSettings&) const = default;
 };
@@ -45,6 +45,7 @@
   void perform(const DropPacket& aAction);
   void perform(const telemetry::Event& aEvent);
   void onConfiguration(config::ConfigurationPtr aConfiguration);
+  nlohmann::json status() const;
 
   ShellSettings mSettings;
   net::MainLoop mLoop;
@@ -55,7 +56,7 @@
   AgentMetrics mAgentMetrics;
   telemetry::ConfigMetrics mConfigMetrics;
   telemetry::RecentEvents mRefusals;
-  net::ConfigReader mConfig;
+  membership::Shell mMembership;
   net::AdminServer mAdmin;
 };
 
--- a/src/balancer/balancer_metrics.cpp
+++ b/src/balancer/balancer_metrics.cpp
@@ -25,6 +25,7 @@
   for (const DropReason reason : kDropReasons) {
     mDrops.expect(toString(reason));
   }
+  mDrops.expect("unconfirmed");
   for (const wire::DecodeError error : wire::kDecodeErrors) {
     mDrops.expect(wire::toString(error));
   }
--- a/src/balancer/main.cpp
+++ b/src/balancer/main.cpp
@@ -1,5 +1,6 @@
 #include "balancer/shell.hpp"
 #include "base/settings.hpp"
+#include "membership/flags.hpp"
 
 #include <gflags/gflags.h>
 #include <iostream>
@@ -11,7 +12,6 @@
               "",
               "[Addresses] ADDRESS:PORT at which others reach this process; --listen if empty");
 DEFINE_string(admin, "", "[Addresses] ADDRESS:PORT for /metrics, /status and /healthz");
-DEFINE_string(config_service, "", "[Addresses] ADDRESS:PORT of the configuration service");
 DEFINE_string(name, "balancer", "[Logs] name of this process in logs");
 DEFINE_uint32(owner_cache, 131072, "[Limits] flows per generation whose owner is remembered");
 DEFINE_uint32(drain_seconds,
@@ -41,7 +41,7 @@
   settings.mAdvertise =
     FLAGS_advertise.empty() ? settings.mListen : check.endpoint("advertise", FLAGS_advertise);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
-  settings.mConfigService = check.endpoint("config_service", FLAGS_config_service);
+  settings.mMembership = membership::readFlags(check, settings.mAdvertise, settings.mListen);
   settings.mName = FLAGS_name;
   settings.mCacheCapacity = FLAGS_owner_cache;
   settings.mDrainSeconds = FLAGS_drain_seconds;
@@ -50,7 +50,7 @@
   check.reachable("advertise", settings.mAdvertise);
   check.distinct({ { "listen", settings.mListen },
                    { "admin", settings.mAdmin },
-                   { "config_service", settings.mConfigService } });
+                   { "config_service", settings.mMembership.mConfigService } });
   check.require(!FLAGS_name.empty(), "--name: expected a non-empty name");
   if (check.report()) {
     return base::kExitInvalidSettings;
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -17,15 +17,21 @@
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAdvertise, aSettings.mCacheCapacity)
   , mSocket(aSettings.mListen)
-  , mConfig(aSettings.mConfigService,
-            mLog,
-            [this](config::ConfigurationPtr aConfiguration) {
-              onConfiguration(std::move(aConfiguration));
-            })
+  , mMembership(
+      aSettings.mMembership,
+      mLog,
+      mMetrics,
+      [this](flow::Endpoint aTo, flow::Bytes aBytes) {
+        mSocket.queue(aTo, std::move(aBytes));
+        mSocket.flush();
+      },
+      [this](config::ConfigurationPtr aConfiguration) {
+        onConfiguration(std::move(aConfiguration));
+      })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
-      [this] { return makeStatus(mSettings.mName, mDecisions, mIsStopping); },
+      [this] { return status(); },
       [this] { return health(); })
   , mPath(mDecisions,
           mSocket,
@@ -52,7 +58,7 @@
   mLoop.onTerminate([this] { onTerminate(); });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
-  mConfig.start();
+  mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
@@ -61,6 +67,8 @@
 {
   if (wire::isFrame(aDatagram)) {
     onFrame(aDatagram, aFrom);
+  } else if (!mMembership.mayForward()) {
+    mBalancerMetrics.noteDrop("unconfirmed");
   } else {
     mPath.handle(net::MainLoop::now(), aDatagram);
   }
@@ -74,30 +82,29 @@
     return;
   }
   const auto& frame = std::get<wire::Frame>(decoded);
+  mMembership.onFrame(aFrom, frame, aDatagram.size());
   mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
   if (const auto* notice = std::get_if<wire::OwnerNotice>(&frame.mMessage)) {
     mDecisions.learn(net::MainLoop::now(), *notice);
   }
   if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
-    mSocket.queue(aFrom,
-                  wire::encode({ mDecisions.revision(), wire::ProbeReply{ probe->mNonce } }));
+    mMembership.send(aFrom, wire::ProbeReply{ probe->mNonce });
   }
 }
 
 void Shell::probePeers()
 {
   for (const flow::Endpoint peer : mDecisions.peers().takeProbes(net::MainLoop::now())) {
-    mSocket.queue(peer, wire::encode({ mDecisions.revision(), wire::Probe{ ++mNonce } }));
+    mMembership.send(peer, wire::Probe{ ++mNonce });
   }
-  mSocket.flush();
 }
 
-net::Health Shell::health() const
+net::Health Shell::health()
 {
   if (mIsStopping) {
     return net::Health::kStopping;
   }
-  return mDecisions.revision() > 0 ? net::Health::kReady : net::Health::kStarting;
+  return mMembership.mayForward() ? net::Health::kReady : net::Health::kStarting;
 }
 
 // The fabric learns only by its health checks that this balancer stops, and sends it packets of
@@ -114,4 +121,11 @@
   mLoop.after(std::chrono::seconds(mSettings.mDrainSeconds), [this] { mLoop.quit(); });
 }
 
+nlohmann::json Shell::status() const
+{
+  nlohmann::json status = makeStatus(mSettings.mName, mDecisions, mIsStopping);
+  status["membership"] = mMembership.status();
+  return status;
+}
+
 } // namespace cornelcross::balancer
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -3,8 +3,8 @@
 #include "balancer/balancer_metrics.hpp"
 #include "balancer/decisions.hpp"
 #include "balancer/packet_path.hpp"
+#include "membership/shell.hpp"
 #include "net/admin_server.hpp"
-#include "net/config_reader.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
 #include "telemetry/config_metrics.hpp"
@@ -15,13 +15,13 @@
 /// @brief Settings of a balancer process.
 struct BalancerSettings
 {
-  flow::Endpoint mListen;          ///< IP in UDP from the fabric, messages from agents
-  flow::Endpoint mAdvertise;       ///< where agents reach this balancer
-  flow::Endpoint mAdmin;           ///< HTTP for metrics, status and health
-  flow::Endpoint mConfigService;   ///< configuration service
-  std::size_t mCacheCapacity = 0;  ///< flows per generation of the owner cache
-  std::string mName;               ///< name in logs
-  std::uint32_t mDrainSeconds = 0; ///< how long a stopping balancer goes on forwarding
+  flow::Endpoint mListen;                ///< IP in UDP from the fabric, messages from agents
+  flow::Endpoint mAdvertise;             ///< where agents reach this balancer
+  flow::Endpoint mAdmin;                 ///< HTTP for metrics, status and health
+  membership::ShellSettings mMembership; ///< configuration service, peers and control budget
+  std::size_t mCacheCapacity = 0;        ///< flows per generation of the owner cache
+  std::string mName;                     ///< name in logs
+  std::uint32_t mDrainSeconds = 0;       ///< how long a stopping balancer goes on forwarding
 
   auto operator<=>(const BalancerSettings&) const = default;
 };
@@ -40,7 +40,8 @@
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void probePeers();
   void onConfiguration(config::ConfigurationPtr aConfiguration);
-  net::Health health() const;
+  nlohmann::json status() const;
+  net::Health health();
   void onTerminate();
 
   BalancerSettings mSettings;
@@ -49,7 +50,7 @@
   telemetry::Metrics mMetrics;
   Decisions mDecisions;
   net::UdpSocket mSocket;
-  net::ConfigReader mConfig;
+  membership::Shell mMembership;
   net::AdminServer mAdmin;
   PacketPath mPath;
   BalancerMetrics mBalancerMetrics;
--- a/tests/unit/test_balancer_decisions.cpp
+++ b/tests/unit/test_balancer_decisions.cpp
@@ -61,8 +61,8 @@
 {
   const auto configuration = makeConfiguration(40);
   const flow::FlowKey flow{ kCaller, kServiceAddress };
-  const auto all =
-    routing::candidates(configuration, configuration.mServices.at("logbook"), flow, false);
+  const routing::ServiceRoutes routes(configuration, configuration.mServices.at("logbook"));
+  const auto all = routes.candidates(flow.hash(), false, 40);
   mBalancer.learn(mNow, { flow, all[30] });
   const auto forward = decide(flow::kAck);
   BOOST_TEST(forward.mTo.toString() == all[30].toString());
