--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -18,7 +18,10 @@
 void Chain::configure(config::ConfigurationPtr aConfiguration, const config::Service* aService)
 {
   mConfiguration = std::move(aConfiguration);
-  mService = aService;
+  mRoutes.reset();
+  if (aService != nullptr) {
+    mRoutes.emplace(*mConfiguration, *aService);
+  }
 }
 
 Actions Chain::pass(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward) const
@@ -72,17 +75,16 @@
 
 bool Chain::takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
 {
-  if (aForward.mIsComplete || mService == nullptr) {
+  if (aForward.mIsComplete || !mRoutes) {
     return false;
   }
   if (aPacket.opensFlow() && aForward.mChunk + 1 >= kMaxOpeningChunks) {
     return false;
   }
-  const auto all =
-    routing::candidates(*mConfiguration, *mService, aPacket.keyFromCaller(), aPacket.opensFlow());
   ++aForward.mChunk;
-  aForward.mCandidates = routing::chunkOf(all, aForward.mChunk);
-  aForward.mIsComplete = routing::isLastChunk(all, aForward.mChunk);
+  aForward.mCandidates =
+    routing::chunkOf(*mRoutes, aPacket.keyFromCaller(), aPacket.opensFlow(), aForward.mChunk);
+  aForward.mIsComplete = routing::isLastChunk(*mRoutes, aForward.mChunk);
   return !aForward.mCandidates.empty();
 }
 
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wire/forward.hpp"
+#include "wire/heartbeat.hpp"
 #include "wire/load_report.hpp"
 #include "wire/owner_notice.hpp"
 #include "wire/probe.hpp"
@@ -11,7 +12,7 @@
 
 /// @brief Every message that travels in a datagram. The index is the message's kind on the wire,
 /// so that new ones go at the end.
-using Message = std::variant<Forward, OwnerNotice, LoadReport, Probe, ProbeReply>;
+using Message = std::variant<Forward, OwnerNotice, LoadReport, Probe, ProbeReply, Heartbeat>;
 
 /// @brief One datagram between two processes of the system.
 struct Frame
