Keep an adopted flow whose caller acknowledges more than was sent again

Its agent was replaced while the caller's acknowledgements were lost; the upstream sent an old segment again, from which the new agent took the upstream's next sequence number. The caller had long received what follows, its acknowledgement did not fit, the packet went down the chain, every agent denied it and the last one reset it. Ruled out: the upstream (its records end with the answer being sent). Measured: the new unit test failed before and passes. Conclusion: mended.

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -15,10 +15,14 @@
 /// 1024.
 constexpr std::uint32_t kAckWindow = 4 * 1024 * 1024;
 
-/// True if the acknowledgement is for data that this upstream has sent.
+/// True if the acknowledgement is for data that this upstream has sent. Of an adopted flow the
+/// agent may have seen an old segment only, sent again, of which the caller has long had what
+/// follows.
 bool acknowledgementFits(const FlowRecord& aRecord, std::uint32_t aAcknowledgement)
 {
-  return !aRecord.mKnowsUpstreamNext || aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
+  const bool isAhead = aRecord.mIsAdopted && aAcknowledgement - aRecord.mUpstreamNext <= kAckWindow;
+  return !aRecord.mKnowsUpstreamNext || isAhead ||
+         aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
 }
 
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
@@ -190,8 +194,8 @@
     return onInquiry(aNow, aPacket, std::move(aForward));
   }
   Actions actions;
-  const bool isUnsure =
-    !recordsAreComplete(aNow) && !mInquiry.isDenied(aNow, aPacket.keyFromCaller());
+  const bool isUnsure = base::mechanisms().mAdoptFlows && !recordsAreComplete(aNow) &&
+                        !mInquiry.isDenied(aNow, aPacket.keyFromCaller());
   if (isUnsure) {
     actions = Chain::addUnsure(mSettings.mSelf, aForward);
   }
@@ -311,6 +315,7 @@
     // The agent restarted beside a living upstream: what the upstream sends, it owns.
     FlowRecord adopted;
     adopted.mState = FlowState::kEstablished;
+    adopted.mIsAdopted = true;
     record = &mFlows.insert(key, adopted);
     mInquiry.erase(key);
     mAdmission.flowOpened(aNow);
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -24,6 +24,7 @@
   bool mHasCallerFin = false;       ///< the caller sent FIN
   bool mHasUpstreamFin = false;     ///< the upstream sent FIN
   bool mKnowsUpstreamNext = false;  ///< mUpstreamNext is valid
+  bool mIsAdopted = false;          ///< the upstream may have sent more than mUpstreamNext says
   std::uint32_t mCallerInitial = 0; ///< the caller's initial sequence number
   std::uint32_t mUpstreamNext = 0; ///< highest sequence number that the upstream has sent, plus one
   base::Time mLastSeen;            ///< last packet in either direction
--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -75,7 +75,8 @@
   while (accepted) {
     accepted = retryConflicting(next);
   }
-  if (aRevision > mRevision) {
+  const bool reverts = aRevision < mRevision && !base::mechanisms().mKeepRevisions;
+  if (aRevision > mRevision || reverts) {
     mRevision = aRevision;
     editable(next);
   }
--- a/tests/fakes/fabric/relay.cpp
+++ b/tests/fakes/fabric/relay.cpp
@@ -31,6 +31,7 @@
   Port& port = mNodes[aNode.mReal.mAddress];
   port.mNode = aNode;
   port.mSocket = std::make_unique<net::UdpSocket>(aNode.mAdvertised);
+  port.mStreams = std::make_unique<StreamPort>(aNode.mAdvertised, aNode.mReal);
   port.mSocket->onDatagram(
     [this, &port](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
       onNodeDatagram(port, aDatagram, aFrom);
--- a/tests/fakes/fabric/relay.hpp
+++ b/tests/fakes/fabric/relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fakes/fabric/link_table.hpp"
+#include "fakes/fabric/stream_port.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
 
@@ -39,6 +40,7 @@
   {
     Node mNode;
     std::unique_ptr<net::UdpSocket> mSocket;
+    std::unique_ptr<StreamPort> mStreams;
   };
 
   void onPacket(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
--- a/tests/scenarios/runner/fleet.hpp
+++ b/tests/scenarios/runner/fleet.hpp
@@ -108,6 +108,7 @@
   void addMember(const std::string& aName, Member aMember);
   void startPlatform();
   std::vector<std::string> commandOf(const std::string& aName, const Member& aMember, bool aIsCold);
+  std::string seedPeers() const;
   std::filesystem::path program(const std::string& aName) const;
   void stopSpraying(const std::string& aName);
   void noteRun(const std::string& aName, const std::string& aState);
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -237,4 +237,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(keeps_an_adopted_flow_whose_caller_acknowledges_more_than_was_sent_again)
+{
+  // The upstream sends an old segment again to the agent that started beside it; the caller has it.
+  fromUpstream(flow::kAck, kUpstreamInitial + 1, kCallerInitial + 1, 100);
+  const auto delivered = fromCaller(flow::kAck, kCallerInitial + 1, kUpstreamInitial + 5001, 10, 2);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(delivered) != nullptr);
+  BOOST_TEST(findAction<agent::SendToCaller>(delivered) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
