--- /dev/null
+++ b/tests/history/figures.cpp
@@ -0,0 +1,85 @@
+#include "history/figures.hpp"
+
+#include "history/checker.hpp"
+#include "history/intervals.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace cornelcross::history {
+
+namespace {
+
+using Worst = std::optional<std::uint64_t>;
+
+void raise(Worst& aWorst, std::uint64_t aValue)
+{
+  aWorst = std::max(aWorst.value_or(0), aValue);
+}
+
+/// Time from the begin of each span to aTime, if aTime lies in it.
+void raiseWithin(Worst& aWorst, const std::vector<Interval>& aSpans, std::uint64_t aTime)
+{
+  for (const Interval& span : aSpans) {
+    if (span.containsAfter(0, aTime)) {
+      raise(aWorst, aTime - span.mBegin);
+    }
+  }
+}
+
+Worst lastPacketIntoZone(const History& aHistory)
+{
+  Worst worst;
+  aHistory.each("forwarded", [&](const Record& aRecord) {
+    const auto node = aHistory.nodes().find(aRecord.field("to"));
+    if (node != aHistory.nodes().end()) {
+      raiseWithin(worst, intervalsOf(aHistory, "zone", node->second.mZone, "out"), aRecord.mTime);
+    }
+  });
+  return worst;
+}
+
+Worst lastFlowAtLeaving(const History& aHistory)
+{
+  Worst worst;
+  aHistory.each("connection_accepted", [&](const Record& aRecord) {
+    raiseWithin(
+      worst, intervalsOf(aHistory, "upstream", aRecord.mProcess, "leaving"), aRecord.mTime);
+  });
+  return worst;
+}
+
+/// Of processes that had something in force before, so that starts don't count.
+Worst lastApplication(const History& aHistory)
+{
+  Worst worst;
+  std::set<std::string> seen;
+  aHistory.each("config_applied", [&](const Record& aRecord) {
+    if (!seen.insert(aRecord.mProcess).second) {
+      raise(worst, aRecord.mTime - aHistory.acceptedAt(aRecord.number("revision")));
+    }
+  });
+  return worst;
+}
+
+void add(std::vector<Figure>& aFigures, Point aPoint, const Worst& aWorst)
+{
+  constexpr std::uint64_t kMillisecond = 1000; // microseconds
+  if (aWorst) {
+    aFigures.push_back({ aPoint, *aWorst / kMillisecond, kBound / kMillisecond, "ms" });
+  }
+}
+
+} // namespace
+
+std::vector<Figure> figures(const History& aHistory)
+{
+  std::vector<Figure> found;
+  add(found, Point::kZoneOut, lastPacketIntoZone(aHistory));
+  add(found, Point::kLeaving, lastFlowAtLeaving(aHistory));
+  add(found, Point::kConfiguration, lastApplication(aHistory));
+  return found;
+}
+
+} // namespace cornelcross::history
