--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -2,6 +2,7 @@
 
 #include "flow/packet_edit.hpp"
 #include "wire/inquiry.hpp"
+#include "wire/walk.hpp"
 
 namespace cornelcross::wire {
 
@@ -14,6 +15,7 @@
   std::uint16_t mChunk = 0;                ///< index of these candidates among all the service's
   bool mIsComplete = false;                ///< no chunk of candidates follows this one
   bool mIsUnanimous = true;                ///< every candidate asked so far denied the flow
+  Walk mWalk;                              ///< where the flow may open; for a SYN only
   Inquiry mInquiry = Inquiry::kNone;       ///< why the receiver gets the packet
   std::vector<flow::Endpoint> mUnsure;     ///< asked agents whose upstream may own the flow
   std::vector<flow::Endpoint> mCandidates; ///< agents, most likely owner first
@@ -30,6 +32,7 @@
              mChunk,
              mIsComplete,
              mIsUnanimous,
+             mWalk,
              mInquiry,
              mUnsure,
              mCandidates);
