Let a stopping agent finish the requests in progress

Cause: SIGTERM ended an agent at once, in the middle of requests; new flows went on arriving at it.

Whoever starts in its place asks the upstream about the flows that are left.

Weighed: a successor that pulls the records over TCP would spare those questions and keep the exact count of requests in progress; it is left, since the questions break no flow.

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -156,7 +156,7 @@
   }
   // A retransmission, or a SYN in a living connection, which the upstream's TCP answers itself
   // (RFC 5961, section 4).
-  if (isReuse && !mConfiguration->mayOpen(*mUpstream)) {
+  if (isReuse && (mIsStopping || !mConfiguration->mayOpen(*mUpstream))) {
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
   record->mPendingInitial = isReuse ? aPacket.mSequence : 0;
@@ -168,7 +168,7 @@
 
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
-  const bool isEligible = mConfiguration->mayOpen(*mUpstream);
+  const bool isEligible = !mIsStopping && mConfiguration->mayOpen(*mUpstream);
   if (!isEligible || !mUpstreamWatch.mayOpen(aNow) ||
       mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
     return mChain.pass(aNow, aPacket, std::move(aForward));
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -34,6 +34,9 @@
   /// @brief An IP packet that the upstream sent to a caller.
   Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
 
+  /// @brief Admits no further flow: the process is about to end.
+  void stopAdmitting() { mIsStopping = true; }
+
   /// @brief Expires records; called about once a second.
   Actions onTick(base::Time aNow);
 
@@ -99,6 +102,7 @@
   KeepAlive mKeepAlive;
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
+  bool mIsStopping = false;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -17,11 +17,15 @@
 DEFINE_string(name, "agent", "[Logs] name of this process in logs");
 DEFINE_uint32(max_flows, 2000, "[Limits] connections that the upstream holds at most");
 DEFINE_uint32(max_segment, 1380, "[Limits] bytes; upper bound for the MSS option of both sides");
+DEFINE_uint32(drain_seconds,
+              30,
+              "[Limits] seconds that a stopping agent waits for requests in progress");
 DEFINE_bool(log_flows, false, "[Logs] log an event for each flow that opens or closes");
 
 namespace {
 
 constexpr std::uint32_t kMaxFlows = 16777216;
+constexpr std::uint32_t kMaxDrainSeconds = 86400;
 constexpr std::uint32_t kMinSegment = 536;  // bytes; RFC 9293, section 3.7.1
 constexpr std::uint32_t kMaxSegment = 9000; // bytes; jumbo frames
 
@@ -47,8 +51,10 @@
   settings.mMembership = membership::readFlags(check, settings.mAgent.mSelf, settings.mListen);
   settings.mFabric = check.endpoint("fabric", FLAGS_fabric);
   settings.mName = FLAGS_name;
+  settings.mDrainSeconds = FLAGS_drain_seconds;
   settings.mLogFlows = FLAGS_log_flows;
   check.range("max_flows", FLAGS_max_flows, 1, kMaxFlows);
+  check.range("drain_seconds", FLAGS_drain_seconds, 0, kMaxDrainSeconds);
   check.range("max_segment", FLAGS_max_segment, kMinSegment, kMaxSegment);
   check.reachable("advertise", settings.mAgent.mSelf);
   check.distinct({ { "listen", settings.mListen },
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -22,6 +22,7 @@
   : mSettings(aSettings)
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAgent)
+  , mStop(std::chrono::seconds(aSettings.mDrainSeconds))
   , mSocket(aSettings.mListen)
   , mMembership(
       aSettings.mMembership,
@@ -38,7 +39,7 @@
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mMembership.mayForward() ? net::Health::kReady : net::Health::kStarting; })
+      [this] { return health(); })
 {
 }
 
@@ -47,18 +48,12 @@
   mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
     onDatagram(aDatagram, aFrom);
   });
-  mLoop.onTerminate([this] {
-    mLog.write({ telemetry::EventKind::kProcessStopping, {} });
-    mLoop.quit();
-  });
+  mLoop.onTerminate([this] { onTerminate(); });
   mLoop.every(kTick, [this] {
     perform(mDecisions.onTick(net::MainLoop::now()));
     mSocket.flush();
   });
-  mLoop.every(kProbeTick, [this] {
-    perform(mDecisions.onPeerTick(net::MainLoop::now()));
-    mSocket.flush();
-  });
+  mLoop.every(kProbeTick, [this] { onPeerTick(); });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
   mMembership.start(mLoop);
@@ -66,6 +61,36 @@
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
 
+void Shell::onTerminate()
+{
+  // A second signal ends the process at once.
+  if (mStop.request(net::MainLoop::now())) {
+    mLoop.quit();
+    return;
+  }
+  mDecisions.stopAdmitting();
+  mLog.write({ telemetry::EventKind::kProcessStopping,
+               { { "busy", std::to_string(mDecisions.admission().busy()) },
+                 { "flows", std::to_string(mDecisions.flows().size()) } } });
+}
+
+void Shell::onPeerTick()
+{
+  perform(mDecisions.onPeerTick(net::MainLoop::now()));
+  mSocket.flush();
+  if (mStop.isDue(net::MainLoop::now(), mDecisions.admission().busy() > 0)) {
+    mLoop.quit();
+  }
+}
+
+net::Health Shell::health()
+{
+  if (mStop.isRequested()) {
+    return net::Health::kStopping;
+  }
+  return mMembership.mayForward() ? net::Health::kReady : net::Health::kStarting;
+}
+
 void Shell::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   if (wire::isFrame(aDatagram)) {
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/decisions.hpp"
+#include "base/graceful_stop.hpp"
 #include "membership/shell.hpp"
 #include "net/admin_server.hpp"
 #include "net/main_loop.hpp"
@@ -18,7 +19,8 @@
   flow::Endpoint mFabric; ///< where IP packets for callers are sent
   std::string mName;      ///< name in logs
   membership::ShellSettings mMembership;
-  bool mLogFlows = false; ///< log an event for each flow
+  std::uint32_t mDrainSeconds = 0; ///< how long a stopping agent waits for requests in progress
+  bool mLogFlows = false;          ///< log an event for each flow
 
   auto operator<=>(const ShellSettings&) const = default;
 };
@@ -35,6 +37,9 @@
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void onTerminate();
+  void onPeerTick();
+  net::Health health();
   void perform(Actions aActions);
   void perform(DeliverToUpstream& aAction);
   void perform(SendToCaller& aAction);
@@ -49,6 +54,7 @@
   telemetry::EventLog mLog;
   telemetry::Metrics mMetrics;
   Decisions mDecisions;
+  base::GracefulStop mStop;
   net::UdpSocket mSocket;
   membership::Shell mMembership;
   net::AdminServer mAdmin;
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -213,6 +213,18 @@
   BOOST_TEST(findAction<agent::SendMessage>(actions) != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(admits_nothing_more_once_it_is_stopping_and_keeps_what_it_has)
+{
+  establish();
+  mAgent.stopAdmitting();
+  const flow::Endpoint caller{ kCaller.mAddress, 50000 };
+  const auto opened = mAgent.onForward(
+    mNow, mAgent.revision(), forward({ caller, kServiceAddress, flow::kSyn, 1, 0 }));
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(opened) == nullptr);
+  const auto delivered = fromCaller(flow::kAck, kCallerInitial + 1, kUpstreamInitial + 1, 5);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(delivered) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(forgets_its_flows_when_its_upstream_is_another_vm)
 {
   establish();
