Move an unanswered flow on when its upstream answers no SYN

Cause: a flow whose SYN had been given to a silent upstream stuck to it, since the caller's retransmissions found its half-open record.

Change: while the upstream counts as down, a retransmission of a SYN that was never answered ends the record and goes on to the next candidate. A SYN-ACK that still comes finds no record and is dropped, so that two upstreams don't answer the caller.

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -159,6 +159,15 @@
   if (isReuse && (mIsStopping || !mConfiguration->mayOpen(*mUpstream))) {
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
+  const bool isUnanswered = record->mState == FlowState::kHalfOpen && !record->mIsAnswered;
+  if (isUnanswered && mUpstreamWatch.isDown(aNow)) {
+    // The upstream never saw it; what it may still answer finds no record and goes no further.
+    Actions actions{ close(aNow, aPacket.keyFromCaller(), *record, "upstream_silent") };
+    mFlows.erase(aPacket.keyFromCaller());
+    Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
+    std::move(passed.begin(), passed.end(), std::back_inserter(actions));
+    return actions;
+  }
   record->mPendingInitial = isReuse ? aPacket.mSequence : 0;
   record->mLastSeen = aNow;
   flow::stripSynPayload(aForward.mPacket, aPacket);
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -213,6 +213,20 @@
   BOOST_TEST(findAction<agent::SendMessage>(actions) != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(moves_an_unanswered_flow_on_when_its_syn_is_sent_again)
+{
+  fromCaller(flow::kSyn, kCallerInitial, 0);
+  for (std::uint16_t port = 50000; port < 50003; ++port) {
+    const flow::Endpoint caller{ kCaller.mAddress, port };
+    mAgent.onForward(
+      mNow, mAgent.revision(), forward({ caller, kServiceAddress, flow::kSyn, 1, 0 }));
+  }
+  mNow += std::chrono::seconds(1);
+  const auto again = fromCaller(flow::kSyn, kCallerInitial, 0);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(again) == nullptr);
+  BOOST_TEST(findAction<agent::SendMessage>(again) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(admits_nothing_more_once_it_is_stopping_and_keeps_what_it_has)
 {
   establish();
