--- a/src/agent/chain.hpp
+++ b/src/agent/chain.hpp
@@ -28,6 +28,12 @@
   /// answered with RST if every candidate denied it.
   Actions pass(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward) const;
 
+  /// @brief True if a candidate that isn't suspected follows among those that are listed.
+  bool hasNext(const wire::Forward& aForward) const;
+
+  /// @brief Ends the chain: a SYN is refused; see pass().
+  static Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward);
+
 private:
   bool takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
   void askSuspects(base::Time aNow,
@@ -35,7 +41,6 @@
                    wire::Forward& aForward,
                    Actions& aActions) const;
   static void askUnsure(const wire::Forward& aForward, wire::Inquiry aInquiry, Actions& aActions);
-  static Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward);
 
   membership::FailureDetector& mPeers;
   config::ConfigurationPtr mConfiguration;
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -36,6 +36,14 @@
   aRecord.mCallerProbes = 0;
 }
 
+/// True if the packet carries data that the agent has not seen before.
+bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
+  return aPacket.mPayloadLength > 0 &&
+         (!aRecord.mKnowsCallerNext || static_cast<std::int32_t>(end - aRecord.mCallerNext) > 0);
+}
+
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
 {
   return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
@@ -47,7 +55,8 @@
 Decisions::Decisions(const AgentSettings& aSettings)
   : mSettings(aSettings)
   , mConfiguration(std::make_shared<const config::Configuration>())
-  , mAdmission(aSettings.mMaxFlows)
+  , mAdmission(aSettings.mAdmission)
+  , mPending(aSettings.mAdmission.mMaxHeld, aSettings.mAdmission.mMaxHeld)
   , mChain(mPeers)
   , mKeepAlive(aSettings.mKeepAlive)
 {
@@ -63,6 +72,10 @@
   const auto before = std::exchange(mUpstream, std::nullopt);
   const std::uint64_t serviceBefore = mService;
   const flow::Endpoint addressBefore = mServiceAddress;
+  const std::uint64_t identity = before ? before->mIdentity : 0;
+  mReportTargets.clear();
+  mReporters.clear();
+  mAdmission.forgetReports();
   mChain.configure(mConfiguration, nullptr);
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
@@ -70,7 +83,11 @@
         mUpstream = upstream;
         mServiceAddress = service.mAddress;
         mService = config::upstreamIdentity(name, "");
-        mAdmission.configure(upstream.mSlots);
+        mAdmission.configure(aNow,
+                             upstream.mSlots,
+                             mConfiguration->mayOpen(upstream),
+                             upstream.mState == config::UpstreamState::kJoining);
+        collectReporters(service);
         mChain.configure(mConfiguration, &service);
       }
     }
@@ -83,6 +100,9 @@
   if (isAnother) {
     actions = releaseFlows(aNow);
   }
+  if (mUpstream && (isAnother || mUpstream->mIdentity != identity)) {
+    mAdmission.restart(aNow);
+  }
   if (before != mUpstream) {
     actions.emplace_back(assignment());
   }
@@ -92,10 +112,14 @@
 Actions Decisions::releaseFlows(base::Time aNow)
 {
   Actions actions;
-  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
     actions.emplace_back(close(aNow, aFlow, aRecord, "upstream_replaced"));
     return true;
   });
+  for (const wire::Forward& forward : mPending.takeFlowsOlderThan(base::Time::max())) {
+    Actions refused = refuse(forward);
+    std::move(refused.begin(), refused.end(), std::back_inserter(actions));
+  }
   mInquiry.clear();
   mUpstreamWatch = {};
   mStarted = aNow;
@@ -114,6 +138,16 @@
              { "state", std::string(toString(mUpstream->mState)) } } };
 }
 
+void Decisions::collectReporters(const config::Service& aService)
+{
+  for (const auto& upstream : aService.mUpstreams) {
+    if (upstream.mAgent != mSettings.mSelf && mConfiguration->mayOpen(upstream)) {
+      mReportTargets.push_back(upstream.mAgent);
+      mReporters.insert(upstream.mIdentity);
+    }
+  }
+}
+
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
 {
   const auto packet = flow::TcpPacket::parse(aForward.mPacket);
@@ -168,6 +202,9 @@
     std::move(passed.begin(), passed.end(), std::back_inserter(actions));
     return actions;
   }
+  if (isUnanswered) {
+    mUpstreamWatch.noteSyn(aNow);
+  }
   record->mPendingInitial = isReuse ? aPacket.mSequence : 0;
   record->mLastSeen = aNow;
   flow::stripSynPayload(aForward.mPacket, aPacket);
@@ -177,13 +214,38 @@
 
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
-  const bool isEligible = !mIsStopping && mConfiguration->mayOpen(*mUpstream);
-  if (!isEligible || !mUpstreamWatch.mayOpen(aNow) ||
-      mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
+  if (mHeldFlows.count(aPacket.keyFromCaller()) > 0) {
+    return { DropPacket{ DropReason::kHeldAlready } };
+  }
+  const bool isEligible =
+    !mIsStopping && mUpstreamWatch.mayOpen(aNow) && mConfiguration->mayOpen(*mUpstream);
+  admission::Offer offer = mAdmission.offer(aNow, isEligible);
+  offer.mRoom = mPending.flows() == 0 ? offer.mRoom : std::uint16_t{ 0 };
+  const auto count = aForward.mPosition + (mChain.hasNext(aForward) ? 2 : 1);
+  const admission::Step step =
+    admission::decide(aForward.mWalk, aForward.mPosition, static_cast<std::uint8_t>(count), offer);
+  if (const auto* pass = std::get_if<admission::PassTo>(&step)) {
+    return passOpening(aNow, aPacket, std::move(aForward), *pass);
+  }
+  if (std::holds_alternative<admission::Hold>(step)) {
+    return hold(aNow, aPacket, std::move(aForward));
+  }
+  if (std::holds_alternative<admission::Refuse>(step)) {
+    // None of these candidates is eligible; there may be others.
+    aForward.mWalk = {};
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
+  return admit(aNow, aPacket, std::move(aForward));
+}
+
+Actions Decisions::admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
+{
   FlowRecord record;
   record.mCallerInitial = aPacket.mSequence;
+  record.mIsExpected = true;
+  record.mBusySince = aNow;
+  record.mCallerNext = aPacket.mSequence + 1;
+  record.mKnowsCallerNext = true;
   record.mLastSeen = aNow;
   mFlows.insert(aPacket.keyFromCaller(), record);
   mUpstreamWatch.noteSyn(aNow);
@@ -235,6 +297,9 @@
   } else if (!fits) {
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
+  if (mustWait(*record, aPacket)) {
+    return holdRequest(aNow, *record, aPacket, std::move(aForward));
+  }
   return deliver(aNow, *record, aPacket, aForward);
 }
 
@@ -289,8 +354,8 @@
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
   aRecord.mLastSeen = aNow;
+  trackCallerPayload(aNow, aRecord, aPacket); // compares with mCallerNext
   noteCaller(aNow, aRecord, aPacket.nextSequence());
-  trackCallerPayload(aNow, aRecord, aPacket);
   Actions actions;
   actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket });
   if (aForward.mPosition > 0 && aForward.mIngress.mPort != 0) {
@@ -313,19 +378,30 @@
                                    FlowRecord& aRecord,
                                    const flow::TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy) {
+  if (!isNewPayload(aRecord, aPacket)) {
+    return;
+  }
+  aRecord.mCallerNext = aPacket.nextSequence();
+  aRecord.mKnowsCallerNext = true;
+  if (aRecord.mIsBusy || aRecord.mIsOneWay || aRecord.mIsHeld) {
     return;
   }
+  noteFirstRequest(aNow, aRecord);
   aRecord.mIsBusy = true;
   aRecord.mBusySince = aNow;
-  mAdmission.requestStarted(aNow);
+  mAdmission.requestStarted(aNow, aRecord.mIsExpected);
+  aRecord.mIsExpected = false;
 }
 
 void Decisions::trackUpstreamPayload(base::Time aNow,
                                      FlowRecord& aRecord,
                                      const flow::TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0 || !aRecord.mIsBusy) {
+  if (aPacket.mPayloadLength == 0) {
+    return;
+  }
+  aRecord.mIsOneWay = false;
+  if (!aRecord.mIsBusy) {
     return;
   }
   aRecord.mIsBusy = false;
@@ -375,7 +451,7 @@
     adopted.mState = FlowState::kEstablished;
     record = &mFlows.insert(key, adopted);
     mInquiry.erase(key);
-    mAdmission.flowOpened(aNow);
+    mAdmission.flowAdopted(aNow);
     actions.emplace_back(
       telemetry::Event{ telemetry::EventKind::kFlowAdopted, { { "flow", key.toString() } } });
   }
@@ -397,8 +473,12 @@
     return actions;
   }
   if (packet->has(flow::kRst)) {
+    if (record->mIsBusy || !record->mIsAnswered) {
+      mAdmission.upstreamReset(aNow);
+    }
     actions.emplace_back(close(aNow, key, *record, "upstream_reset"));
     mFlows.erase(key);
+    release(aNow, actions);
     return actions;
   }
   const std::uint32_t next = packet->nextSequence();
@@ -417,6 +497,7 @@
   if (record->mHasCallerFin && record->mHasUpstreamFin) {
     record->mState = FlowState::kClosing;
   }
+  release(aNow, actions);
   return actions;
 }
 
@@ -447,6 +528,9 @@
   if (aRecord.mIsBusy) {
     mAdmission.requestAbandoned(aNow);
   }
+  if (aRecord.mIsExpected) {
+    mAdmission.expectationEnded(aNow);
+  }
   mAdmission.flowClosed(aNow);
   return { telemetry::EventKind::kFlowClosed,
            { { "flow", aFlow.toString() },
@@ -484,8 +568,9 @@
   mInquiry.expire(aNow);
   Actions actions;
   keepAlive(aNow, actions);
-  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
     if (!aRecord.mIsSilent && !isExpired(aNow, aRecord)) {
+      updateLoad(aNow, aRecord);
       return false;
     }
     actions.emplace_back(close(aNow, aFlow, aRecord, aRecord.mIsSilent ? "silent" : "expired"));
