--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -21,6 +21,14 @@
   return !aRecord.mKnowsUpstreamNext || aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
 }
 
+/// True if the packet carries data that the agent has not seen before.
+bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
+  return aPacket.mPayloadLength > 0 &&
+         (!aRecord.mKnowsCallerNext || static_cast<std::int32_t>(end - aRecord.mCallerNext) > 0);
+}
+
 /// True if the segment belongs to the connection that the record's SYN opens.
 bool isOfAttempt(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
 {
@@ -36,14 +44,6 @@
   aRecord.mCallerProbes = 0;
 }
 
-/// True if the packet carries data that the agent has not seen before.
-bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
-{
-  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
-  return aPacket.mPayloadLength > 0 &&
-         (!aRecord.mKnowsCallerNext || static_cast<std::int32_t>(end - aRecord.mCallerNext) > 0);
-}
-
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
 {
   return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
@@ -354,7 +354,8 @@
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
   aRecord.mLastSeen = aNow;
-  trackCallerPayload(aNow, aRecord, aPacket); // compares with mCallerNext
+  // Whether payload is new is judged by what was seen before this segment.
+  trackCallerPayload(aNow, aRecord, aPacket);
   noteCaller(aNow, aRecord, aPacket.nextSequence());
   Actions actions;
   actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket });
@@ -515,7 +516,7 @@
     const std::uint32_t initial = aRecord.mPendingInitial;
     aRecord = FlowRecord{};
     aRecord.mCallerInitial = initial;
-    mAdmission.flowOpened(aNow);
+    mAdmission.flowAdopted(aNow);
   }
   aRecord.mIsAnswered = true;
 }
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -24,8 +24,8 @@
   bool mHasCallerFin = false;       ///< the caller sent FIN
   bool mHasUpstreamFin = false;     ///< the upstream sent FIN
   bool mKnowsCallerNext = false;    ///< mCallerNext is valid
-  bool mIsSilent = false;           ///< an end left its keep-alive probes unanswered
   bool mKnowsUpstreamNext = false;  ///< mUpstreamNext is valid
+  bool mIsSilent = false;           ///< an end left its keep-alive probes unanswered
   bool mIsExpected = false;         ///< the first request since admission was not seen
   bool mIsHeld = false;             ///< the packet at mHeldSequence waits for room
   bool mIsOneWay = false;           ///< the upstream left a request unanswered; none counts as load
--- a/tests/unit/support/network.hpp
+++ b/tests/unit/support/network.hpp
@@ -132,6 +132,8 @@
     for (std::uint32_t i = 0; i < kUpstreams; ++i) {
       perform(i, mAgents[i]->onPeerTick(mNow));
       perform(i, mAgents[i]->onTick(mNow));
+      perform(i, mAgents[i]->onHoldTimer(mNow));
+      perform(i, mAgents[i]->onReportTimer(mNow));
     }
     at(std::chrono::milliseconds(100), [this] { tick(); });
   }
