Hand packets on while an agent is starting

Cause: a restarted agent dropped every packet until its configuration was confirmed, its own flows' and those that it only had to pass on. It answers probes meanwhile, so nobody avoids it.

Ruled out: silence to probes while starting (a suspicion takes longer than the start); handing on after a pause as well (the socket may hold packets from before an availability zone was taken out).

Change: until it may forward for the first time, an agent passes packets to the next candidate that the sender listed, is unsure about established flows, and answers nobody.

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -174,6 +174,27 @@
                              : onSegment(aNow, *packet, std::move(aForward));
 }
 
+Actions Decisions::passWhileStarting(base::Time aNow, wire::Forward aForward)
+{
+  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  if (!packet) {
+    return { DropPacket{ DropReason::kMalformed } };
+  }
+  // A packet that was sent here on purpose, not to the next in line, would only come back.
+  const bool isInLine =
+    aForward.mInquiry == wire::Inquiry::kNone && aForward.mWalk.mRound == wire::Round::kBalance;
+  if (!isInLine || !mChain.hasNext(aForward)) {
+    return { DropPacket{ DropReason::kNoOwner } };
+  }
+  Actions actions;
+  if (!packet->opensFlow()) {
+    actions = Chain::addUnsure(mSettings.mSelf, aForward);
+  }
+  Actions passed = mChain.pass(aNow, *packet, std::move(aForward));
+  std::move(passed.begin(), passed.end(), std::back_inserter(actions));
+  return actions;
+}
+
 Actions Decisions::onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
   FlowRecord* record = mFlows.find(aPacket.keyFromCaller());
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -33,6 +33,10 @@
   /// @brief A caller's packet from a balancer or another agent whose configuration is at aRevision.
   Actions onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward);
 
+  /// @brief A caller's packet before this process may forward for the first time: goes on to the
+  /// next candidate that the sender listed, with no denial from here.
+  Actions passWhileStarting(base::Time aNow, wire::Forward aForward);
+
   /// @brief An IP packet that the upstream sent to a caller.
   Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
 
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -137,16 +137,26 @@
     perform(reply);
   }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
-    if (!mMembership.mayForward()) {
-      countDrop("unconfirmed");
-      return;
-    }
-    perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
+    onForward(frame.mRevision, std::move(*forward));
   } else if (const auto* report = std::get_if<wire::LoadReport>(&frame.mMessage)) {
     mDecisions.onLoadReport(net::MainLoop::now(), *report);
   }
 }
 
+void Shell::onForward(std::uint64_t aRevision, wire::Forward aForward)
+{
+  const base::Time now = net::MainLoop::now();
+  if (mMembership.mayForward()) {
+    mHasForwarded = true;
+    perform(mDecisions.onForward(now, aRevision, std::move(aForward)));
+  } else if (!mHasForwarded) {
+    perform(mDecisions.passWhileStarting(now, std::move(aForward)));
+  } else {
+    // What a paused process finds in its socket may be older than the configuration in force.
+    countDrop("unconfirmed");
+  }
+}
+
 void Shell::perform(Actions aActions)
 {
   for (Action& action : aActions) {
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -37,6 +37,7 @@
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void onForward(std::uint64_t aRevision, wire::Forward aForward);
   void onTerminate();
   void onPeerTick();
   net::Health health();
@@ -55,6 +56,7 @@
   telemetry::Metrics mMetrics;
   Decisions mDecisions;
   base::GracefulStop mStop;
+  bool mHasForwarded = false; ///< was allowed to forward since its start
   net::UdpSocket mSocket;
   membership::Shell mMembership;
   net::AdminServer mAdmin;
