--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "agent/agent_metrics.hpp"
 #include "agent/decisions.hpp"
 #include "base/graceful_stop.hpp"
 #include "membership/shell.hpp"
 #include "net/admin_server.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
+#include "telemetry/config_metrics.hpp"
+#include "telemetry/recent_events.hpp"
 #include "wire/codec.hpp"
 
 namespace cornelcross::agent {
@@ -47,7 +50,7 @@
   void perform(SendMessage& aAction);
   void perform(const DropPacket& aAction);
   void perform(const telemetry::Event& aEvent);
-  void countDrop(std::string_view aReason);
+  void onConfiguration(config::ConfigurationPtr aConfiguration);
   nlohmann::json status() const;
 
   ShellSettings mSettings;
@@ -58,6 +61,9 @@
   base::GracefulStop mStop;
   bool mHasForwarded = false; ///< was allowed to forward since its start
   net::UdpSocket mSocket;
+  AgentMetrics mAgentMetrics;
+  telemetry::ConfigMetrics mConfigMetrics;
+  telemetry::RecentEvents mRefusals;
   membership::Shell mMembership;
   net::AdminServer mAdmin;
 };
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "balancer/balancer_metrics.hpp"
 #include "balancer/decisions.hpp"
 #include "balancer/packet_path.hpp"
 #include "membership/shell.hpp"
 #include "net/admin_server.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
+#include "telemetry/config_metrics.hpp"
 #include "wire/codec.hpp"
 
 namespace cornelcross::balancer {
@@ -37,7 +39,7 @@
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void probePeers();
-  void countDrop(std::string_view aReason);
+  void onConfiguration(config::ConfigurationPtr aConfiguration);
   nlohmann::json status() const;
   net::Health health();
   void onTerminate();
@@ -51,9 +53,9 @@
   membership::Shell mMembership;
   net::AdminServer mAdmin;
   PacketPath mPath;
-  prometheus::Counter& mPackets;
+  BalancerMetrics mBalancerMetrics;
+  telemetry::ConfigMetrics mConfigMetrics;
   bool mIsStopping = false;
-  prometheus::Counter& mProbes;
   std::uint64_t mNonce = 0;
 };
 
