--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -74,9 +74,9 @@
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
   const auto before = std::exchange(mUpstream, std::nullopt);
-  const std::uint64_t identity = before ? before->mIdentity : 0;
   const std::uint64_t serviceBefore = mService;
   const flow::Endpoint addressBefore = mServiceAddress;
+  const std::uint64_t identity = before ? before->mIdentity : 0;
   mReportTargets.clear();
   mReporters.clear();
   mAdmission.forgetReports();
@@ -96,9 +96,6 @@
       }
     }
   }
-  if (mUpstream && mUpstream->mIdentity != identity) {
-    mAdmission.restart(aNow);
-  }
   Actions actions;
   // Another VM, or the same one for another service, has none of the flows that are on record.
   const bool isAnother = before && mUpstream &&
@@ -107,6 +104,9 @@
   if (isAnother) {
     actions = releaseFlows(aNow);
   }
+  if (mUpstream && (isAnother || mUpstream->mIdentity != identity)) {
+    mAdmission.restart(aNow);
+  }
   if (before != mUpstream) {
     actions.emplace_back(assignment());
   }
@@ -116,10 +116,14 @@
 Actions Decisions::releaseFlows(base::Time aNow)
 {
   Actions actions;
-  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
     actions.emplace_back(close(aNow, aFlow, aRecord, "upstream_replaced"));
     return true;
   });
+  for (const wire::Forward& forward : mPending.takeFlowsOlderThan(base::Time::max())) {
+    Actions refused = refuse(forward);
+    std::move(refused.begin(), refused.end(), std::back_inserter(actions));
+  }
   mInquiry.clear();
   mUpstreamWatch = {};
   mStarted = aNow;
@@ -174,6 +178,27 @@
                              : onSegment(aNow, *packet, std::move(aForward));
 }
 
+Actions Decisions::passWhileStarting(base::Time aNow, wire::Forward aForward)
+{
+  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  if (!packet) {
+    return { DropPacket{ DropReason::kMalformed } };
+  }
+  // A packet that was sent here on purpose, not to the next in line, would only come back.
+  const bool isInLine =
+    aForward.mInquiry == wire::Inquiry::kNone && aForward.mWalk.mRound == wire::Round::kBalance;
+  if (!isInLine || !mChain.hasNext(aForward)) {
+    return { DropPacket{ DropReason::kNoOwner } };
+  }
+  Actions actions;
+  if (!packet->opensFlow()) {
+    actions = Chain::addUnsure(mSettings.mSelf, aForward);
+  }
+  Actions passed = mChain.pass(aNow, *packet, std::move(aForward));
+  std::move(passed.begin(), passed.end(), std::back_inserter(actions));
+  return actions;
+}
+
 Actions Decisions::onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
   FlowRecord* record = mFlows.find(aPacket.keyFromCaller());
@@ -190,9 +215,21 @@
   }
   // A retransmission, or a SYN in a living connection, which the upstream's TCP answers itself
   // (RFC 5961, section 4).
-  if (isReuse && !mConfiguration->mayOpen(*mUpstream)) {
+  if (isReuse && (mIsStopping || !mConfiguration->mayOpen(*mUpstream))) {
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
+  const bool isUnanswered = record->mState == FlowState::kHalfOpen && !record->mIsAnswered;
+  if (isUnanswered && mUpstreamWatch.isDown(aNow)) {
+    // The upstream never saw it; what it may still answer finds no record and goes no further.
+    Actions actions{ close(aNow, aPacket.keyFromCaller(), *record, "upstream_silent") };
+    mFlows.erase(aPacket.keyFromCaller());
+    Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
+    std::move(passed.begin(), passed.end(), std::back_inserter(actions));
+    return actions;
+  }
+  if (isUnanswered) {
+    mUpstreamWatch.noteSyn(aNow);
+  }
   record->mPendingInitial = isReuse ? aPacket.mSequence : 0;
   record->mLastSeen = aNow;
   flow::stripSynPayload(aForward.mPacket, aPacket);
@@ -205,8 +242,9 @@
   if (mHeldFlows.count(aPacket.keyFromCaller()) > 0) {
     return { DropPacket{ DropReason::kHeldAlready } };
   }
-  admission::Offer offer =
-    mAdmission.offer(aNow, mConfiguration->mayOpen(*mUpstream) && mUpstreamWatch.mayOpen(aNow));
+  const bool isEligible =
+    !mIsStopping && mUpstreamWatch.mayOpen(aNow) && mConfiguration->mayOpen(*mUpstream);
+  admission::Offer offer = mAdmission.offer(aNow, isEligible);
   offer.mRoom = mPending.flows() == 0 ? offer.mRoom : std::uint16_t{ 0 };
   const auto count = aForward.mPosition + (mChain.hasNext(aForward) ? 2 : 1);
   const admission::Step step =
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -33,9 +33,16 @@
   /// @brief A caller's packet from a balancer or another agent whose configuration is at aRevision.
   Actions onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward);
 
+  /// @brief A caller's packet before this process may forward for the first time: goes on to the
+  /// next candidate that the sender listed, with no denial from here.
+  Actions passWhileStarting(base::Time aNow, wire::Forward aForward);
+
   /// @brief An IP packet that the upstream sent to a caller.
   Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
 
+  /// @brief Admits no further flow: the process is about to end.
+  void stopAdmitting() { mIsStopping = true; }
+
   /// @brief Another agent of the service told its load.
   void onLoadReport(base::Time aNow, const wire::LoadReport& aReport);
 
@@ -141,6 +148,7 @@
   KeepAlive mKeepAlive;
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
+  bool mIsStopping = false;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -26,11 +26,15 @@
               750,
               "[Limits] milliseconds that a new flow waits for room before it is refused");
 DEFINE_uint32(max_segment, 1380, "[Limits] bytes; upper bound for the MSS option of both sides");
+DEFINE_uint32(drain_seconds,
+              30,
+              "[Limits] seconds that a stopping agent waits for requests in progress");
 DEFINE_bool(log_flows, false, "[Logs] log an event for each flow that opens or closes");
 
 namespace {
 
 constexpr std::uint32_t kMaxFlows = 16777216;
+constexpr std::uint32_t kMaxDrainSeconds = 86400;
 constexpr std::uint32_t kMaxColdLimit = 65535;
 constexpr std::uint32_t kMaxColdStartSeconds = 86400;
 constexpr std::uint32_t kMaxHoldMs = 900;   // below the callers' first retransmission (RFC 6298)
@@ -62,8 +66,10 @@
   settings.mMembership = membership::readFlags(check, settings.mAgent.mSelf, settings.mListen);
   settings.mFabric = check.endpoint("fabric", FLAGS_fabric);
   settings.mName = FLAGS_name;
+  settings.mDrainSeconds = FLAGS_drain_seconds;
   settings.mLogFlows = FLAGS_log_flows;
   check.range("max_flows", FLAGS_max_flows, 1, kMaxFlows);
+  check.range("drain_seconds", FLAGS_drain_seconds, 0, kMaxDrainSeconds);
   check.range("cold_limit", FLAGS_cold_limit, 1, kMaxColdLimit);
   check.range("cold_start_seconds", FLAGS_cold_start_seconds, 0, kMaxColdStartSeconds);
   check.range("hold_ms", FLAGS_hold_ms, 0, kMaxHoldMs);
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -28,6 +28,7 @@
   : mSettings(aSettings)
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAgent)
+  , mStop(std::chrono::seconds(aSettings.mDrainSeconds))
   , mSocket(aSettings.mListen)
   , mAgentMetrics(mMetrics, mDecisions)
   , mConfigMetrics(mMetrics)
@@ -47,7 +48,7 @@
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return mMembership.mayForward() ? net::Health::kReady : net::Health::kStarting; })
+      [this] { return health(); })
 {
   telemetry::registerProcessMetrics(mMetrics, "agent");
   net::registerSocketMetrics(mMetrics, mSocket);
@@ -64,10 +65,7 @@
   mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
     onDatagram(aDatagram, aFrom);
   });
-  mLoop.onTerminate([this] {
-    mLog.write({ telemetry::EventKind::kProcessStopping, {} });
-    mLoop.quit();
-  });
+  mLoop.onTerminate([this] { onTerminate(); });
   mLoop.every(kTick, [this] {
     perform(mDecisions.onTick(net::MainLoop::now()));
     mSocket.flush();
@@ -82,10 +80,7 @@
     perform(mDecisions.onReportTimer(net::MainLoop::now()));
     mSocket.flush();
   });
-  mLoop.every(kProbeTick, [this] {
-    perform(mDecisions.onPeerTick(net::MainLoop::now()));
-    mSocket.flush();
-  });
+  mLoop.every(kProbeTick, [this] { onPeerTick(); });
   mLog.write(
     { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
   mMembership.start(mLoop);
@@ -93,6 +88,36 @@
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
 
+void Shell::onTerminate()
+{
+  // A second signal ends the process at once.
+  if (mStop.request(net::MainLoop::now())) {
+    mLoop.quit();
+    return;
+  }
+  mDecisions.stopAdmitting();
+  mLog.write({ telemetry::EventKind::kProcessStopping,
+               { { "busy", std::to_string(mDecisions.admission().busy()) },
+                 { "flows", std::to_string(mDecisions.flows().size()) } } });
+}
+
+void Shell::onPeerTick()
+{
+  perform(mDecisions.onPeerTick(net::MainLoop::now()));
+  mSocket.flush();
+  if (mStop.isDue(net::MainLoop::now(), mDecisions.admission().busy() > 0)) {
+    mLoop.quit();
+  }
+}
+
+net::Health Shell::health()
+{
+  if (mStop.isRequested()) {
+    return net::Health::kStopping;
+  }
+  return mMembership.mayForward() ? net::Health::kReady : net::Health::kStarting;
+}
+
 void Shell::onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   if (wire::isFrame(aDatagram)) {
@@ -127,16 +152,26 @@
     perform(reply);
   }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
-    if (!mMembership.mayForward()) {
-      mAgentMetrics.noteDrop("unconfirmed");
-      return;
-    }
-    perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
+    onForward(frame.mRevision, std::move(*forward));
   } else if (const auto* report = std::get_if<wire::LoadReport>(&frame.mMessage)) {
     mDecisions.onLoadReport(net::MainLoop::now(), *report);
   }
 }
 
+void Shell::onForward(std::uint64_t aRevision, wire::Forward aForward)
+{
+  const base::Time now = net::MainLoop::now();
+  if (mMembership.mayForward()) {
+    mHasForwarded = true;
+    perform(mDecisions.onForward(now, aRevision, std::move(aForward)));
+  } else if (!mHasForwarded) {
+    perform(mDecisions.passWhileStarting(now, std::move(aForward)));
+  } else {
+    // What a paused process finds in its socket may be older than the configuration in force.
+    mAgentMetrics.noteDrop("unconfirmed");
+  }
+}
+
 void Shell::perform(Actions aActions)
 {
   for (Action& action : aActions) {
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -2,6 +2,7 @@
 
 #include "agent/agent_metrics.hpp"
 #include "agent/decisions.hpp"
+#include "base/graceful_stop.hpp"
 #include "membership/shell.hpp"
 #include "net/admin_server.hpp"
 #include "net/main_loop.hpp"
@@ -21,7 +22,8 @@
   flow::Endpoint mFabric; ///< where IP packets for callers are sent
   std::string mName;      ///< name in logs
   membership::ShellSettings mMembership;
-  bool mLogFlows = false; ///< log an event for each flow
+  std::uint32_t mDrainSeconds = 0; ///< how long a stopping agent waits for requests in progress
+  bool mLogFlows = false;          ///< log an event for each flow
 
   auto operator<=>(const ShellSettings&) const = default;
 };
@@ -38,6 +40,10 @@
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void onForward(std::uint64_t aRevision, wire::Forward aForward);
+  void onTerminate();
+  void onPeerTick();
+  net::Health health();
   void perform(Actions aActions);
   void perform(DeliverToUpstream& aAction);
   void perform(SendToCaller& aAction);
@@ -52,6 +58,8 @@
   telemetry::EventLog mLog;
   telemetry::Metrics mMetrics;
   Decisions mDecisions;
+  base::GracefulStop mStop;
+  bool mHasForwarded = false; ///< was allowed to forward since its start
   net::UdpSocket mSocket;
   AgentMetrics mAgentMetrics;
   telemetry::ConfigMetrics mConfigMetrics;
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -213,6 +213,44 @@
   BOOST_TEST(findAction<agent::SendMessage>(actions) != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(moves_an_unanswered_flow_on_when_its_syn_is_sent_again)
+{
+  for (int i = 0; i < 3; ++i, mNow += std::chrono::seconds(1)) {
+    const auto delivered = fromCaller(flow::kSyn, kCallerInitial, 0);
+    BOOST_TEST(findAction<agent::DeliverToUpstream>(delivered) != nullptr);
+  }
+  const auto again = fromCaller(flow::kSyn, kCallerInitial, 0);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(again) == nullptr);
+  BOOST_TEST(findAction<agent::SendMessage>(again) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(passes_packets_on_while_it_is_starting)
+{
+  establish();
+  const auto segment = mAgent.passWhileStarting(
+    mNow, forward({ kCaller, kServiceAddress, flow::kAck, kCallerInitial + 1, 5, 9 }));
+  const auto* message = findAction<agent::SendMessage>(segment);
+  BOOST_REQUIRE(message != nullptr);
+  BOOST_TEST(message->mTo.toString() == agentOf(1).toString());
+  BOOST_TEST(std::get<wire::Forward>(message->mMessage).mUnsure.size() == 1U);
+  const auto last =
+    mAgent.passWhileStarting(mNow, forward({ kCaller, kServiceAddress, flow::kSyn, 1, 0 }, 2));
+  BOOST_TEST(findAction<agent::SendToCaller>(last) == nullptr);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(last) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(admits_nothing_more_once_it_is_stopping_and_keeps_what_it_has)
+{
+  establish();
+  mAgent.stopAdmitting();
+  const flow::Endpoint caller{ kCaller.mAddress, 50000 };
+  const auto opened = mAgent.onForward(
+    mNow, mAgent.revision(), forward({ caller, kServiceAddress, flow::kSyn, 1, 0 }));
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(opened) == nullptr);
+  const auto delivered = fromCaller(flow::kAck, kCallerInitial + 1, kUpstreamInitial + 1, 5);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(delivered) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(forgets_its_flows_when_its_upstream_is_another_vm)
 {
   establish();
