Count no connection that both sides have closed

Ruled out: the cold upstream (the other two had 700 requests a second for the 500 offered), the hold queue. Change: load and connections end when both sides have sent FIN.

--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -42,9 +42,6 @@
 
 Offer AdmissionControl::offer(base::Time aNow, bool aIsEligible) const
 {
-  if (mFlows >= mSettings.mMaxFlows) {
-    return { aIsEligible, false, 0 };
-  }
   const double share = mService.share(aNow, meanLoad(aNow), limit());
   const bool isBelow = load() + 1 <= share;
   return { aIsEligible, isBelow, static_cast<std::uint16_t>(std::min(flowRoom(), 0xFFFFU)) };
@@ -95,6 +92,13 @@
   return limit() + static_cast<std::uint32_t>(std::ceil(underWay));
 }
 
+std::uint32_t AdmissionControl::flowRoom() const
+{
+  const std::uint32_t byLoad = load() < flowLimit() ? flowLimit() - load() : 0;
+  const std::uint32_t byFlows = mFlows < mSettings.mMaxFlows ? mSettings.mMaxFlows - mFlows : 0;
+  return std::min(byLoad, byFlows);
+}
+
 void AdmissionControl::requestStarted(base::Time aNow, bool aIsExpected)
 {
   advance(aNow);
--- a/src/admission/admission_control.hpp
+++ b/src/admission/admission_control.hpp
@@ -82,7 +82,7 @@
   std::uint32_t requestRoom() const { return mBusy < limit() ? limit() - mBusy : 0; }
 
   /// @brief New flows that the upstream could take now.
-  std::uint32_t flowRoom() const { return load() < flowLimit() ? flowLimit() - load() : 0; }
+  std::uint32_t flowRoom() const;
 
   /// @brief True during a cold start.
   bool isCold() const { return mLimit.isCold(); }
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -287,7 +287,7 @@
   }
   aRecord.mHasCallerFin = aRecord.mHasCallerFin || aPacket.has(flow::kFin);
   if (aRecord.mHasCallerFin && aRecord.mHasUpstreamFin) {
-    aRecord.mState = FlowState::kClosing;
+    beginClosing(aNow, aRecord);
   }
   return actions;
 }
@@ -296,7 +296,7 @@
                                    FlowRecord& aRecord,
                                    const flow::TcpPacket& aPacket)
 {
-  if (!isNewPayload(aRecord, aPacket)) {
+  if (!isNewPayload(aRecord, aPacket) || aRecord.mState == FlowState::kClosing) {
     return;
   }
   aRecord.mCallerNext = aPacket.nextSequence();
@@ -399,7 +399,7 @@
   trackUpstreamPayload(aNow, *record, *packet);
   record->mHasUpstreamFin = record->mHasUpstreamFin || packet->has(flow::kFin);
   if (record->mHasCallerFin && record->mHasUpstreamFin) {
-    record->mState = FlowState::kClosing;
+    beginClosing(aNow, *record);
   }
   release(aNow, actions);
   return actions;
@@ -410,13 +410,9 @@
                                   const FlowRecord& aRecord,
                                   const std::string& aReason)
 {
-  if (aRecord.mIsBusy) {
-    mAdmission.requestAbandoned(aNow);
+  if (aRecord.mState != FlowState::kClosing) {
+    endLoad(aNow, aRecord);
   }
-  if (aRecord.mIsExpected) {
-    mAdmission.expectationEnded(aNow);
-  }
-  mAdmission.flowClosed(aNow);
   return { telemetry::EventKind::kFlowClosed,
            { { "flow", aFlow.toString() },
              { "reason", aReason },
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -93,6 +93,8 @@
   Actions releaseFlow(base::Time aNow, wire::Forward aForward);
   void collectReporters(const config::Service& aService);
   void noteFirstRequest(base::Time aNow, const FlowRecord& aRecord);
+  void beginClosing(base::Time aNow, FlowRecord& aRecord);
+  void endLoad(base::Time aNow, const FlowRecord& aRecord);
   void updateLoad(base::Time aNow, FlowRecord& aRecord);
   Actions deliver(base::Time aNow,
                   FlowRecord& aRecord,
--- a/src/agent/held_work.cpp
+++ b/src/agent/held_work.cpp
@@ -61,8 +61,8 @@
 // until the first packet fills the hole (RFC 9293, section 3.10.7.4).
 bool Decisions::mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const
 {
-  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy || aRecord.mIsOneWay ||
-      aPacket.has(flow::kRst)) {
+  if (aPacket.mPayloadLength == 0 || aRecord.mState == FlowState::kClosing || aRecord.mIsBusy ||
+      aRecord.mIsOneWay || aPacket.has(flow::kRst)) {
     return false;
   }
   if (aRecord.mIsHeld) {
@@ -167,6 +167,29 @@
   return actions;
 }
 
+// The upstream's connection is gone; only the record stays, for what is still under way.
+void Decisions::beginClosing(base::Time aNow, FlowRecord& aRecord)
+{
+  if (aRecord.mState == FlowState::kClosing) {
+    return;
+  }
+  endLoad(aNow, aRecord);
+  aRecord.mState = FlowState::kClosing;
+  aRecord.mIsBusy = false;
+  aRecord.mIsExpected = false;
+}
+
+void Decisions::endLoad(base::Time aNow, const FlowRecord& aRecord)
+{
+  if (aRecord.mIsBusy) {
+    mAdmission.requestAbandoned(aNow);
+  }
+  if (aRecord.mIsExpected) {
+    mAdmission.expectationEnded(aNow);
+  }
+  mAdmission.flowClosed(aNow);
+}
+
 void Decisions::updateLoad(base::Time aNow, FlowRecord& aRecord)
 {
   if (aRecord.mIsExpected && aNow - aRecord.mLastSeen > kExpectation) {
--- a/tests/unit/test_agent_admission.cpp
+++ b/tests/unit/test_agent_admission.cpp
@@ -184,6 +184,19 @@
   BOOST_TEST(mAgent.admission().limit() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(counts_no_connection_that_both_sides_have_closed)
+{
+  serveOne(1);
+  fromUpstream(1, flow::kAck | flow::kFin, kUpstreamInitial + 11);
+  fromCaller(1, flow::kAck | flow::kFin, kCallerInitial + 11, kUpstreamInitial + 12);
+  BOOST_TEST(mAgent.admission().flows() == 0U);
+  BOOST_TEST(mAgent.flows().size() == 1U);
+  mNow += 120s;
+  mAgent.onTick(mNow);
+  BOOST_TEST(mAgent.admission().flows() == 0U);
+  BOOST_TEST(mAgent.flows().size() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(tells_the_other_agents_of_the_service_its_load)
 {
   mAgent.apply(mNow, share(makeConfiguration(3, 2)));
