--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -53,8 +53,7 @@
   }
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
-  const std::uint64_t identity = mUpstream ? mUpstream->mIdentity : 0;
-  mUpstream.reset();
+  const auto before = std::exchange(mUpstream, std::nullopt);
   mReportTargets.clear();
   mReporters.clear();
   mAdmission.forgetReports();
@@ -74,10 +73,22 @@
       }
     }
   }
-  if (mUpstream && mUpstream->mIdentity != identity) {
+  if (mUpstream && (!before || before->mIdentity != mUpstream->mIdentity)) {
     mAdmission.restart(aNow);
   }
-  return {};
+  return before == mUpstream ? Actions{} : Actions{ assignment() };
+}
+
+telemetry::Event Decisions::assignment() const
+{
+  if (!mUpstream) {
+    return { telemetry::EventKind::kUpstreamAssigned, { { "upstream", "none" } } };
+  }
+  return { telemetry::EventKind::kUpstreamAssigned,
+           { { "upstream", mUpstream->mName },
+             { "service", mServiceAddress.toString() },
+             { "zone", mUpstream->mZone },
+             { "state", std::string(toString(mUpstream->mState)) } } };
 }
 
 void Decisions::collectReporters(const config::Service& aService)
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -13,12 +13,13 @@
 /// @brief Settings of a balancer process.
 struct BalancerSettings
 {
-  flow::Endpoint mListen;    ///< IP in UDP from the fabric, messages from agents
-  flow::Endpoint mAdvertise; ///< where agents reach this balancer
-  flow::Endpoint mAdmin;     ///< HTTP for metrics, status and health
-  membership::ShellSettings mMembership;
-  std::size_t mCacheCapacity = 0; ///< flows per generation of the owner cache
-  std::string mName;              ///< name in logs
+  flow::Endpoint mListen;                ///< IP in UDP from the fabric, messages from agents
+  flow::Endpoint mAdvertise;             ///< where agents reach this balancer
+  flow::Endpoint mAdmin;                 ///< HTTP for metrics, status and health
+  membership::ShellSettings mMembership; ///< configuration service, peers and control budget
+  std::size_t mCacheCapacity = 0;        ///< flows per generation of the owner cache
+  std::string mName;                     ///< name in logs
+  std::uint32_t mDrainSeconds = 0;       ///< how long a stopping balancer goes on forwarding
 
   auto operator<=>(const BalancerSettings&) const = default;
 };
@@ -29,7 +30,7 @@
 public:
   explicit Shell(const BalancerSettings& aSettings);
 
-  /// @brief Runs until SIGTERM.
+  /// @brief Runs until SIGTERM and for the drain time after it, or until a second SIGTERM.
   void run();
 
 private:
@@ -38,6 +39,8 @@
   void probePeers();
   void countDrop(std::string_view aReason);
   nlohmann::json status() const;
+  net::Health health();
+  void onTerminate();
 
   BalancerSettings mSettings;
   net::MainLoop mLoop;
@@ -49,6 +52,7 @@
   net::AdminServer mAdmin;
   PacketPath mPath;
   prometheus::Counter& mPackets;
+  bool mIsStopping = false;
   prometheus::Counter& mProbes;
   std::uint64_t mNonce = 0;
 };
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -21,6 +21,8 @@
       return "config_confirmed";
     case EventKind::kProcessPaused:
       return "process_paused";
+    case EventKind::kUpstreamAssigned:
+      return "upstream_assigned";
     case EventKind::kFlowOpened:
       return "flow_opened";
     case EventKind::kFlowClosed:
