--- a/bench/policy/experiment.cpp
+++ b/bench/policy/experiment.cpp
@@ -65,6 +65,9 @@
   if (aName == "cold") {
     return Disturbance::kCold;
   }
+  if (aName == "silent") {
+    return Disturbance::kSilent;
+  }
   if (aName == "zone") {
     return Disturbance::kZone;
   }
@@ -274,6 +277,11 @@
     case Disturbance::kCold:
       at(10, [this] { restart(1); });
       return;
+    case Disturbance::kSilent:
+      at(10, [this] {
+        mService.mUpstreams[1].slowDown(seconds(mSettings.mColdSeconds), mSettings.mColdSlots);
+      });
+      return;
     case Disturbance::kBurst:
       at(10, [this] { mBurst = 3; });
       at(20, [this] { mBurst = 1; });
@@ -318,6 +326,9 @@
   std::size_t eligible = 0;
   for (std::size_t i = 0; i < mService.mUpstreams.size(); ++i) {
     mSecond.mLoads.push_back(mService.mUpstreams[i].takeMeanLoad());
+    if (mService.mUpstreams[i].isCold() && mSecond.mLoads.back() > mSettings.mColdSlots) {
+      ++mMeasures.mSecondsAboveCold;
+    }
     if (mService.mIsEligible[i] && !mService.mUpstreams[i].isCold()) {
       sum += mSecond.mLoads.back();
       highest = std::max(highest, mSecond.mLoads.back());
--- a/bench/policy/experiment.hpp
+++ b/bench/policy/experiment.hpp
@@ -14,6 +14,7 @@
 {
   kNone,
   kCold,     ///< one upstream restarts unannounced
+  kSilent,   ///< one upstream turns cold and keeps its connections
   kZone,     ///< every third upstream leaves with its zone and returns cold
   kCleaning, ///< each upstream in turn is emptied, restarted and returned
   kBurst,    ///< the load is three times as high for ten seconds
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -15,7 +15,7 @@
 DEFINE_bool(greedy,
             false,
             "one firm offers five times its even share, the others less than theirs");
-DEFINE_string(disturbance, "none", "none, cold, zone, cleaning or burst");
+DEFINE_string(disturbance, "none", "none, cold, silent, zone, cleaning or burst");
 DEFINE_double(cold_seconds, 15, "seconds that a cold start lasts");
 DEFINE_uint32(cold_slots, 2, "requests that a cold upstream bears at once");
 DEFINE_uint32(report_delay_ms, 4, "milliseconds that a load report takes");
@@ -100,6 +100,7 @@
             << " answer_p50_ms=" << quantile(aMeasures.mLatencies, 0.5)
             << " answer_p99_ms=" << quantile(aMeasures.mLatencies, 0.99)
             << " answer_p999_ms=" << quantile(aMeasures.mLatencies, 0.999)
+            << " seconds_above_cold=" << aMeasures.mSecondsAboveCold
             << " cold_peak=" << aMeasures.mColdPeak << " cold_bears=" << aSettings.mColdSlots;
   printWorkspaces(aMeasures);
   std::cout << std::endl;
--- a/bench/policy/measures.hpp
+++ b/bench/policy/measures.hpp
@@ -34,10 +34,11 @@
 {
   std::vector<Second> mSeconds;
   std::vector<WorkspaceTotals> mWorkspaces;
-  std::vector<double> mLatencies; ///< milliseconds
-  std::uint64_t mGaveUp = 0;      ///< callers that were refused at every attempt
-  std::uint64_t mLostByEvent = 0; ///< flows that ended with their upstream's restart or zone
-  std::uint32_t mColdPeak = 0;    ///< highest load of a cold upstream
+  std::vector<double> mLatencies;      ///< milliseconds
+  std::uint64_t mGaveUp = 0;           ///< callers that were refused at every attempt
+  std::uint64_t mLostByEvent = 0;      ///< flows that ended with their upstream's restart or zone
+  std::uint32_t mSecondsAboveCold = 0; ///< with a mean load above what a cold upstream bears
+  std::uint32_t mColdPeak = 0;         ///< highest load of a cold upstream
 };
 
 /// @brief Value below which this share of aValues lies; 0 if there are none.
--- a/bench/policy/upstream_queue.cpp
+++ b/bench/policy/upstream_queue.cpp
@@ -35,6 +35,13 @@
   mColdSlots = aBears;
 }
 
+void UpstreamQueue::slowDown(base::Duration aLength, std::uint32_t aBears)
+{
+  mColdUntil = mEvents.now() + aLength;
+  mColdSlots = aBears;
+  // Jobs that wait when it is warm again start with the next one that ends.
+}
+
 double UpstreamQueue::takeMeanLoad()
 {
   integrate();
--- a/bench/policy/upstream_queue.hpp
+++ b/bench/policy/upstream_queue.hpp
@@ -18,6 +18,9 @@
   /// @brief Loses every job, then bears only aBears jobs at once for aLength.
   void restart(base::Duration aLength, std::uint32_t aBears);
 
+  /// @brief Bears only aBears jobs at once for aLength, and loses none.
+  void slowDown(base::Duration aLength, std::uint32_t aBears);
+
   /// @brief Jobs that run or wait.
   std::uint32_t load() const { return mRunning + static_cast<std::uint32_t>(mWaiting.size()); }
 
