Compare answer times with those of the service's other upstreams

Ruled out: the window and the bounds (the printed windows were slow by 1.5 to 2.5 and the limit fell to 5, then grew again). A slower mean was not taken: when a dependency slows all upstreams down, every agent would cut its limit for minutes. Change: load reports carry the mean answer time; the limit compares with the mean of the others, and with the upstream's own past only without reports.

--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -139,11 +139,15 @@
 wire::LoadReport AdmissionControl::report(base::Time aNow, std::uint64_t aUpstream)
 {
   advance(aNow);
+  mLimit.compareWith(mService.answerTime(aNow));
+  const auto answerTime =
+    std::chrono::duration_cast<std::chrono::microseconds>(mLimit.recentLatency());
   return { aUpstream,
            mBusy,
            limit(),
            mFlows,
-           static_cast<std::uint32_t>(std::lround(mMeanLoad * wire::kLoadUnit)) };
+           static_cast<std::uint32_t>(std::lround(mMeanLoad * wire::kLoadUnit)),
+           static_cast<std::uint32_t>(answerTime.count()) };
 }
 
 double AdmissionControl::meanLoad(base::Time aNow) const
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -16,6 +16,9 @@
 /// Answers slower by this factor let the limit fall.
 constexpr double kTooSlow = 2.0;
 
+/// Part of a window's mean in the recent answer time.
+constexpr double kRecentWeight = 0.3;
+
 /// The limit never falls below this share of itself in one window.
 constexpr double kSteepestFall = 0.5;
 
@@ -59,6 +62,9 @@
   }
 }
 
+// The reference is what the service's other upstreams take now. Were it only the upstream's own
+// past, a slow dependency that all share would make every agent cut its limit, and a lasting cold
+// start would become the usual. Without reports the past must do.
 // A gradient limit: the ratio of the usual to the present answer time, after Netflix'
 // concurrency-limits and TCP Vegas. During a cold start nothing grows: whether an upstream bears
 // one request more can't be seen without giving it one more than it may bear.
@@ -66,8 +72,11 @@
 {
   const double mean = mSum / mSamples;
   const bool isFirst = mUsual == 0;
-  const double ratio = isFirst ? 1 : mean / mUsual;
-  mUsual = isFirst ? mean : mUsual + (mean - mUsual) * (ratio < 1 ? kFasterWeight : kSlowerWeight);
+  const auto reference = static_cast<double>(mReference.count());
+  const double ratio = reference > 0 ? mean / reference : isFirst ? 1 : mean / mUsual;
+  mRecent += (mean - mRecent) * (mRecent == 0 ? 1 : kRecentWeight);
+  mUsual =
+    isFirst ? mean : mUsual + (mean - mUsual) * (mean < mUsual ? kFasterWeight : kSlowerWeight);
   mIsCold = mIsCold && (mIsJoining || aNow < mColdUntil);
   if (ratio > kTooSlow) {
     fall(ratio);
--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -13,7 +13,7 @@
   std::uint32_t mColdLimit = 1;                            ///< requests at once during a cold start
   base::Duration mColdStart = std::chrono::seconds(30);    ///< length of a cold start
   base::Duration mWindow = std::chrono::milliseconds(250); ///< shortest time between two changes
-  std::uint32_t mMinSamples = 4;                           ///< answers that a change needs at least
+  std::uint32_t mMinSamples = 4;                          ///< answers that a change needs at least
 
   auto operator<=>(const LimitSettings&) const = default;
 };
@@ -38,6 +38,12 @@
   /// @brief An answer came after aLatency; aLoad requests were in progress with it.
   void onAnswer(base::Time aNow, base::Duration aLatency, std::uint32_t aLoad);
 
+  /// @brief Answer time of like upstreams to compare with; zero for the upstream's own usual one.
+  void compareWith(base::Duration aAnswerTime) { mReference = aAnswerTime; }
+
+  /// @brief Mean answer time lately; zero until it is known.
+  base::Duration recentLatency() const { return base::Duration(static_cast<long>(mRecent)); }
+
   /// @brief Requests at once.
   std::uint32_t value() const { return mValue; }
 
@@ -60,8 +66,10 @@
   bool mHasStart = false;
   base::Time mColdUntil;
   base::Time mWindowEnd;
-  double mUsual = 0; ///< nanoseconds
-  double mSum = 0;   ///< nanoseconds, of this window
+  double mUsual = 0;  ///< nanoseconds
+  double mRecent = 0; ///< nanoseconds
+  base::Duration mReference{ 0 };
+  double mSum = 0; ///< nanoseconds, of this window
   std::uint32_t mSamples = 0;
   std::uint32_t mPeak = 0; ///< highest load of this window
 };
--- a/src/admission/service_load.cpp
+++ b/src/admission/service_load.cpp
@@ -36,4 +36,17 @@
   return isKnown ? load / limit * aLimit : aLimit;
 }
 
+base::Duration ServiceLoad::answerTime(base::Time aNow) const
+{
+  std::int64_t sum = 0;
+  std::int64_t count = 0;
+  for (const auto& [upstream, entry] : mEntries) {
+    if (aNow - entry.mReceived <= kFresh && entry.mReport.mAnswerTime > 0) {
+      sum += entry.mReport.mAnswerTime;
+      ++count;
+    }
+  }
+  return std::chrono::microseconds(count > 0 ? sum / count : 0);
+}
+
 } // namespace cornelcross::admission
--- a/src/admission/service_load.hpp
+++ b/src/admission/service_load.hpp
@@ -21,6 +21,9 @@
   /// the whole limit if no report is fresh. @param aLoad its own mean load
   double share(base::Time aNow, double aLoad, std::uint32_t aLimit) const;
 
+  /// @brief Mean answer time of the other upstreams; zero if it isn't known.
+  base::Duration answerTime(base::Time aNow) const;
+
 private:
   struct Entry
   {
