Let the limit fall earlier

Cause: at an upstream that bears 2, three requests take 1.5 times as long and four twice; the bounds of 1.5 (no growth) and 2 (fall) let it hold 4 to 5. Change: bounds of 1.25 and 1.5, over 16 answers in place of 4, so that the mean of a window is known well enough.

--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -11,10 +11,10 @@
 
 /// Answers slower than the usual ones by this factor stop the growth. A mix of short and long
 /// requests moves the mean of a window by less.
-constexpr double kSlow = 1.5;
+constexpr double kSlow = 1.25;
 
 /// Answers slower by this factor let the limit fall.
-constexpr double kTooSlow = 2.0;
+constexpr double kTooSlow = 1.5;
 
 /// Part of a window's mean in the recent answer time.
 constexpr double kRecentWeight = 0.3;
--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -13,7 +13,7 @@
   std::uint32_t mColdLimit = 1;                            ///< requests at once during a cold start
   base::Duration mColdStart = std::chrono::seconds(30);    ///< length of a cold start
   base::Duration mWindow = std::chrono::milliseconds(250); ///< shortest time between two changes
-  std::uint32_t mMinSamples = 4;                          ///< answers that a change needs at least
+  std::uint32_t mMinSamples = 16;                          ///< answers that a change needs at least
 
   auto operator<=>(const LimitSettings&) const = default;
 };
