--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/admission_settings.hpp"
+#include "agent/keep_alive_settings.hpp"
 #include "base/time.hpp"
 #include "flow/endpoint.hpp"
 
@@ -14,6 +15,7 @@
   admission::AdmissionSettings mAdmission = {};
   /// For so long after its start an agent's records may lack flows of its upstream.
   base::Duration mRecoveryWindow = std::chrono::hours(12);
+  KeepAliveSettings mKeepAlive = {};
   base::Duration mHalfOpenTimeout = std::chrono::seconds(30);
   base::Duration mClosingTimeout = std::chrono::seconds(60);
   base::Duration mIdleTimeout = std::chrono::hours(12);
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -6,7 +6,9 @@
 #include "agent/agent_settings.hpp"
 #include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
+#include "agent/keep_alive.hpp"
 #include "agent/upstream_inquiry.hpp"
+#include "agent/upstream_watch.hpp"
 #include "config/configuration.hpp"
 #include "flow/run_verdict.hpp"
 
@@ -60,6 +62,12 @@
   /// @brief This agent's upstream under the configuration in force.
   const std::optional<config::Upstream>& upstream() const { return mUpstream; }
 
+  /// @brief True if the upstream may be given new flows, apart from its load.
+  bool mayOpen() const { return mUpstream && mConfiguration->mayOpen(*mUpstream); }
+
+  /// @brief True if the upstream may receive packets.
+  bool mayReceive() const { return mUpstream && mConfiguration->mayReceive(*mUpstream); }
+
   /// @brief Limits and load.
   const admission::AdmissionControl& admission() const { return mAdmission; }
 
@@ -107,6 +115,12 @@
                          const flow::FlowKey& aFlow,
                          const FlowRecord& aRecord,
                          const std::string& aReason);
+  Actions releaseFlows(base::Time aNow);
+  void acceptSyn(base::Time aNow,
+                 const flow::TcpPacket& aPacket,
+                 FlowRecord& aRecord,
+                 Actions& aActions);
+  void keepAlive(base::Time aNow, Actions& aActions);
   telemetry::Event assignment() const;
   bool isExpired(base::Time aNow, const FlowRecord& aRecord) const;
 
@@ -125,6 +139,8 @@
   membership::FailureDetector mPeers;
   Chain mChain;
   UpstreamInquiry mInquiry;
+  UpstreamWatch mUpstreamWatch;
+  KeepAlive mKeepAlive;
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
 };
--- a/src/agent/flow_table.cpp
+++ b/src/agent/flow_table.cpp
@@ -25,4 +25,11 @@
   }
 }
 
+void FlowTable::forEach(const std::function<void(const flow::FlowKey&, FlowRecord&)>& aVisit)
+{
+  for (auto& [key, record] : mRecords) {
+    aVisit(key, record);
+  }
+}
+
 } // namespace cornelcross::agent
--- a/src/agent/held_work.cpp
+++ b/src/agent/held_work.cpp
@@ -139,7 +139,9 @@
 Actions Decisions::releaseFlow(base::Time aNow, wire::Forward aForward)
 {
   const auto packet = flow::TcpPacket::parse(aForward.mPacket);
-  if (!mConfiguration->mayOpen(*mUpstream)) {
+  // The agent may have been given the upstream of another service while the flow waited.
+  const bool isForeign = packet->mDestination != mServiceAddress || aForward.mService != mService;
+  if (isForeign || !mConfiguration->mayOpen(*mUpstream)) {
     return refuse(aForward);
   }
   mHeldFlows.erase(packet->keyFromCaller());
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -32,9 +32,8 @@
 
 constexpr std::uint32_t kMaxFlows = 16777216;
 constexpr std::uint32_t kMaxColdLimit = 65535;
-constexpr std::uint32_t kMaxColdStart = 86400; // seconds
-constexpr std::uint32_t kMaxHold =
-  900; // milliseconds; callers retransmit a SYN after 1 s (RFC 6298)
+constexpr std::uint32_t kMaxColdStartSeconds = 86400;
+constexpr std::uint32_t kMaxHoldMs = 900;   // below the callers' first retransmission (RFC 6298)
 constexpr std::uint32_t kMinSegment = 536;  // bytes; RFC 9293, section 3.7.1
 constexpr std::uint32_t kMaxSegment = 9000; // bytes; jumbo frames
 
@@ -66,8 +65,8 @@
   settings.mLogFlows = FLAGS_log_flows;
   check.range("max_flows", FLAGS_max_flows, 1, kMaxFlows);
   check.range("cold_limit", FLAGS_cold_limit, 1, kMaxColdLimit);
-  check.range("cold_start_seconds", FLAGS_cold_start_seconds, 0, kMaxColdStart);
-  check.range("hold_ms", FLAGS_hold_ms, 0, kMaxHold);
+  check.range("cold_start_seconds", FLAGS_cold_start_seconds, 0, kMaxColdStartSeconds);
+  check.range("hold_ms", FLAGS_hold_ms, 0, kMaxHoldMs);
   check.range("max_segment", FLAGS_max_segment, kMinSegment, kMaxSegment);
   check.reachable("advertise", settings.mAgent.mSelf);
   check.distinct({ { "listen", settings.mListen },
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "agent/agent_metrics.hpp"
 #include "agent/decisions.hpp"
 #include "membership/shell.hpp"
 #include "net/admin_server.hpp"
 #include "net/main_loop.hpp"
 #include "net/udp_socket.hpp"
+#include "telemetry/config_metrics.hpp"
+#include "telemetry/recent_events.hpp"
 #include "wire/codec.hpp"
 
 namespace cornelcross::agent {
@@ -41,7 +44,7 @@
   void perform(SendMessage& aAction);
   void perform(const DropPacket& aAction);
   void perform(const telemetry::Event& aEvent);
-  void countDrop(std::string_view aReason);
+  void onConfiguration(config::ConfigurationPtr aConfiguration);
   nlohmann::json status() const;
 
   ShellSettings mSettings;
@@ -50,6 +53,9 @@
   telemetry::Metrics mMetrics;
   Decisions mDecisions;
   net::UdpSocket mSocket;
+  AgentMetrics mAgentMetrics;
+  telemetry::ConfigMetrics mConfigMetrics;
+  telemetry::RecentEvents mRefusals;
   membership::Shell mMembership;
   net::AdminServer mAdmin;
 };
--- a/tests/unit/test_agent_admission.cpp
+++ b/tests/unit/test_agent_admission.cpp
@@ -197,6 +197,24 @@
   BOOST_TEST(mAgent.flows().size() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(gives_no_held_flow_to_the_upstream_of_another_service)
+{
+  establish(1);
+  request(1);
+  open(2);
+  auto configuration = makeConfiguration(1, 2);
+  auto node = configuration.mServices.extract("logbook");
+  node.key() = "certificates";
+  node.mapped().mName = "certificates";
+  node.mapped().mAddress.mPort = 81;
+  node.mapped().mUpstreams[0].mIdentity = config::upstreamIdentity("certificates", "logbook-1");
+  configuration.mServices.insert(std::move(node));
+  mAgent.apply(mNow, share(configuration));
+  const auto actions = mAgent.onHoldTimer(mNow);
+  BOOST_TEST(count<Deliver>(actions) == 0U);
+  BOOST_TEST(count<Answer>(actions) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(tells_the_other_agents_of_the_service_its_load)
 {
   mAgent.apply(mNow, share(makeConfiguration(3, 2)));
