--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -42,9 +42,6 @@
 
 Offer AdmissionControl::offer(base::Time aNow, bool aIsEligible) const
 {
-  if (mFlows >= mSettings.mMaxFlows) {
-    return { aIsEligible, false, 0 };
-  }
   const double share = mService.share(aNow, meanLoad(aNow), limit());
   const bool isBelow = load() + 1 <= share;
   return { aIsEligible, isBelow, static_cast<std::uint16_t>(std::min(flowRoom(), 0xFFFFU)) };
@@ -95,6 +92,13 @@
   return limit() + static_cast<std::uint32_t>(std::ceil(underWay));
 }
 
+std::uint32_t AdmissionControl::flowRoom() const
+{
+  const std::uint32_t byLoad = load() < flowLimit() ? flowLimit() - load() : 0;
+  const std::uint32_t byFlows = mFlows < mSettings.mMaxFlows ? mSettings.mMaxFlows - mFlows : 0;
+  return std::min(byLoad, byFlows);
+}
+
 void AdmissionControl::requestStarted(base::Time aNow, bool aIsExpected)
 {
   advance(aNow);
@@ -135,11 +139,15 @@
 wire::LoadReport AdmissionControl::report(base::Time aNow, std::uint64_t aUpstream)
 {
   advance(aNow);
+  mLimit.compareWith(mService.answerTime(aNow));
+  const auto answerTime =
+    std::chrono::duration_cast<std::chrono::microseconds>(mLimit.recentLatency());
   return { aUpstream,
            mBusy,
            limit(),
            mFlows,
-           static_cast<std::uint32_t>(std::lround(mMeanLoad * wire::kLoadUnit)) };
+           static_cast<std::uint32_t>(std::lround(mMeanLoad * wire::kLoadUnit)),
+           static_cast<std::uint32_t>(answerTime.count()) };
 }
 
 double AdmissionControl::meanLoad(base::Time aNow) const
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -395,7 +395,7 @@
   }
   aRecord.mHasCallerFin = aRecord.mHasCallerFin || aPacket.has(flow::kFin);
   if (aRecord.mHasCallerFin && aRecord.mHasUpstreamFin) {
-    aRecord.mState = FlowState::kClosing;
+    beginClosing(aNow, aRecord);
   }
   return actions;
 }
@@ -404,7 +404,7 @@
                                    FlowRecord& aRecord,
                                    const flow::TcpPacket& aPacket)
 {
-  if (!isNewPayload(aRecord, aPacket)) {
+  if (!isNewPayload(aRecord, aPacket) || aRecord.mState == FlowState::kClosing) {
     return;
   }
   aRecord.mCallerNext = aPacket.nextSequence();
@@ -522,7 +522,7 @@
   trackUpstreamPayload(aNow, *record, *packet);
   record->mHasUpstreamFin = record->mHasUpstreamFin || packet->has(flow::kFin);
   if (record->mHasCallerFin && record->mHasUpstreamFin) {
-    record->mState = FlowState::kClosing;
+    beginClosing(aNow, *record);
   }
   release(aNow, actions);
   return actions;
@@ -552,13 +552,9 @@
                                   const FlowRecord& aRecord,
                                   const std::string& aReason)
 {
-  if (aRecord.mIsBusy) {
-    mAdmission.requestAbandoned(aNow);
+  if (aRecord.mState != FlowState::kClosing) {
+    endLoad(aNow, aRecord);
   }
-  if (aRecord.mIsExpected) {
-    mAdmission.expectationEnded(aNow);
-  }
-  mAdmission.flowClosed(aNow);
   return { telemetry::EventKind::kFlowClosed,
            { { "flow", aFlow.toString() },
              { "reason", aReason },
--- a/tests/unit/test_agent_admission.cpp
+++ b/tests/unit/test_agent_admission.cpp
@@ -184,6 +184,37 @@
   BOOST_TEST(mAgent.admission().limit() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(counts_no_connection_that_both_sides_have_closed)
+{
+  serveOne(1);
+  fromUpstream(1, flow::kAck | flow::kFin, kUpstreamInitial + 11);
+  fromCaller(1, flow::kAck | flow::kFin, kCallerInitial + 11, kUpstreamInitial + 12);
+  BOOST_TEST(mAgent.admission().flows() == 0U);
+  BOOST_TEST(mAgent.flows().size() == 1U);
+  mNow += 120s;
+  mAgent.onTick(mNow);
+  BOOST_TEST(mAgent.admission().flows() == 0U);
+  BOOST_TEST(mAgent.flows().size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(gives_no_held_flow_to_the_upstream_of_another_service)
+{
+  establish(1);
+  request(1);
+  open(2);
+  auto configuration = makeConfiguration(1, 2);
+  auto node = configuration.mServices.extract("logbook");
+  node.key() = "certificates";
+  node.mapped().mName = "certificates";
+  node.mapped().mAddress.mPort = 81;
+  node.mapped().mUpstreams[0].mIdentity = config::upstreamIdentity("certificates", "logbook-1");
+  configuration.mServices.insert(std::move(node));
+  mAgent.apply(mNow, share(configuration));
+  const auto actions = mAgent.onHoldTimer(mNow);
+  BOOST_TEST(count<Deliver>(actions) == 0U);
+  BOOST_TEST(count<Answer>(actions) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(tells_the_other_agents_of_the_service_its_load)
 {
   mAgent.apply(mNow, share(makeConfiguration(3, 2)));
