--- a/src/agent/actions.hpp
+++ b/src/agent/actions.hpp
@@ -3,6 +3,7 @@
 #include "telemetry/event.hpp"
 #include "wire/message.hpp"
 
+#include <array>
 #include <variant>
 #include <vector>
 
@@ -16,10 +17,18 @@
   kForeignService, ///< addressed to a service that the agent's upstream doesn't belong to
   kZoneOut,        ///< the agent's availability zone is out
   kNoOwner,        ///< no candidate owns the flow, but not every one could say so
+  kHeldAlready,    ///< retransmission of a packet that waits for room
   kNotOwned,       ///< the upstream's RST for a flow that it was only asked about
   kNoRecord,       ///< a SYN-ACK of the upstream for a flow without a record
 };
 
+/// @brief Every reason, in the order of the enumeration.
+inline constexpr std::array kDropReasons = {
+  DropReason::kMalformed, DropReason::kNotConfigured, DropReason::kForeignService,
+  DropReason::kZoneOut,   DropReason::kNoOwner,       DropReason::kHeldAlready,
+  DropReason::kNotOwned,  DropReason::kNoRecord,
+};
+
 /// @brief Name of the reason in logs and metrics.
 std::string_view toString(DropReason aReason);
 
--- a/src/agent/agent_metrics.cpp
+++ b/src/agent/agent_metrics.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-constexpr std::array kDropReasons = {
-  DropReason::kMalformed, DropReason::kNotConfigured, DropReason::kForeignService,
-  DropReason::kZoneOut,   DropReason::kNoOwner,       DropReason::kNotOwned,
-  DropReason::kNoRecord,
-};
-
 using Reader = double (*)(const Decisions&);
 
 struct AgentGauge
@@ -39,6 +33,19 @@
               [](const Decisions& aDecisions) {
                 return static_cast<double>(aDecisions.admission().limit());
               } },
+  AgentGauge{
+    "cornelcross_flows_held",
+    "New flows that wait for room",
+    [](const Decisions& aDecisions) { return static_cast<double>(aDecisions.pending().flows()); } },
+  AgentGauge{ "cornelcross_requests_held",
+              "Requests of established flows that wait for room",
+              [](const Decisions& aDecisions) {
+                return static_cast<double>(aDecisions.pending().requests());
+              } },
+  AgentGauge{
+    "cornelcross_upstream_cold",
+    "1 during a cold start of the upstream, else 0",
+    [](const Decisions& aDecisions) { return aDecisions.admission().isCold() ? 1.0 : 0.0; } },
   AgentGauge{ "cornelcross_upstream_slots",
               "Slots that the configuration declares for the upstream, 0 if it is not listed",
               [](const Decisions& aDecisions) {
--- a/src/agent/agent_status.cpp
+++ b/src/agent/agent_status.cpp
@@ -46,6 +46,9 @@
            { "flows", aDecisions.flows().size() },
            { "busy", admission.busy() },
            { "limit", admission.limit() },
+           { "cold", admission.isCold() },
+           { "held_flows", aDecisions.pending().flows() },
+           { "held_requests", aDecisions.pending().requests() },
            { "suspected_agents", aDecisions.peers().suspects() },
            { "last_refusals", describeRefusals(aRefusals) } };
 }
--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -3,6 +3,7 @@
 #include "flow/run_verdict.hpp"
 #include "routing/candidates.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornelcross::agent {
@@ -50,6 +51,14 @@
   return actions;
 }
 
+bool Chain::hasNext(const wire::Forward& aForward) const
+{
+  const auto next = aForward.mCandidates.begin() + aForward.mPosition + 1;
+  return std::any_of(next, aForward.mCandidates.end(), [this](flow::Endpoint aAgent) {
+    return !mPeers.isSuspected(aAgent);
+  });
+}
+
 void Chain::askSuspects(base::Time aNow,
                         std::size_t aFirst,
                         wire::Forward& aForward,
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr base::Duration kTick = std::chrono::seconds(1);
+constexpr base::Duration kHoldTick = std::chrono::milliseconds(20);
+constexpr base::Duration kReportInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
 
 constexpr std::size_t kRefusalsKept = 16;
@@ -70,6 +72,16 @@
     perform(mDecisions.onTick(net::MainLoop::now()));
     mSocket.flush();
   });
+  mLoop.every(kHoldTick, [this] {
+    if (mMembership.mayForward()) {
+      perform(mDecisions.onHoldTimer(net::MainLoop::now()));
+      mSocket.flush();
+    }
+  });
+  mLoop.every(kReportInterval, [this] {
+    perform(mDecisions.onReportTimer(net::MainLoop::now()));
+    mSocket.flush();
+  });
   mLoop.every(kProbeTick, [this] {
     perform(mDecisions.onPeerTick(net::MainLoop::now()));
     mSocket.flush();
@@ -120,6 +132,8 @@
       return;
     }
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
+  } else if (const auto* report = std::get_if<wire::LoadReport>(&frame.mMessage)) {
+    mDecisions.onLoadReport(net::MainLoop::now(), *report);
   }
 }
 
--- a/src/balancer/actions.hpp
+++ b/src/balancer/actions.hpp
@@ -2,6 +2,7 @@
 
 #include "wire/forward.hpp"
 
+#include <array>
 #include <string_view>
 #include <variant>
 
@@ -15,6 +16,13 @@
   kNoUpstream, ///< every upstream is in an availability zone that is out
 };
 
+/// @brief Every reason, in the order of the enumeration.
+inline constexpr std::array kDropReasons = {
+  DropReason::kMalformed,
+  DropReason::kNoService,
+  DropReason::kNoUpstream,
+};
+
 /// @brief Name of the reason in logs and metrics.
 std::string_view toString(DropReason aReason);
 
--- a/tests/process/test_telemetry.cpp
+++ b/tests/process/test_telemetry.cpp
@@ -73,6 +73,26 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(every_reason_of_a_drop_is_documented)
+{
+  Deployment deployment(kNet, 0, true);
+  std::ifstream file(std::string(CORNELCROSS_SOURCE_FOLDER) + "/docs/METRICS.md");
+  const std::string page{ std::istreambuf_iterator<char>(file), {} };
+  for (const std::string& admin : { deployment.balancerAdmin(), deployment.agentAdmin() }) {
+    const std::string text = test::httpGet(admin, "/metrics");
+    const std::string label = "dropped_total{reason=\"";
+    BOOST_TEST(text.find(label) != std::string::npos);
+    for (auto at = text.find(label); at != std::string::npos; at = text.find(label, at + 1)) {
+      const auto start = at + label.size();
+      const std::string reason = text.substr(start, text.find('"', start) - start);
+      const bool isListed = page.find("| " + reason + " |") != std::string::npos ||
+                            page.find("| " + reason + ",") != std::string::npos ||
+                            page.find(", " + reason) != std::string::npos;
+      BOOST_TEST(isListed, reason << " is not in docs/METRICS.md");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(status_tells_revision_upstreams_and_limits)
 {
   Deployment deployment(kNet, 0, true);
