Choose a caller's workspace by the longest prefix

Cause: of nested prefixes the one listed first won, so that a customer inside another's range was served in the other's turn, depending on the order of the document. Ruled out: rejecting nested prefixes, which operators need for sites within a range. Change: the longest match counts, as in IP routing. Conclusion: the order of the document has no meaning any more.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -8,16 +8,21 @@
   return found == mZones.end() || found->second.mIsIn || !base::mechanisms().mObserveZoneOut;
 }
 
+// Prefixes may nest, as a customer's site within a provider's range: the longest match counts, as
+// in IP routing (RFC 4632, section 5.1).
 std::size_t Configuration::workspaceOf(flow::Ipv4Address aAddress) const
 {
+  std::size_t workspace = 0;
+  int longest = -1;
   for (std::size_t i = 0; i < mWorkspaces.size(); ++i) {
     for (const Prefix& prefix : mWorkspaces[i].mPrefixes) {
-      if (prefix.contains(aAddress)) {
-        return i + 1;
+      if (prefix.mLength > longest && prefix.contains(aAddress)) {
+        longest = prefix.mLength;
+        workspace = i + 1;
       }
     }
   }
-  return 0;
+  return workspace;
 }
 
 } // namespace cornelcross::config
