--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -29,6 +29,21 @@
          (!aRecord.mKnowsCallerNext || static_cast<std::int32_t>(end - aRecord.mCallerNext) > 0);
 }
 
+/// True if the segment belongs to the connection that the record's SYN opens.
+bool isOfAttempt(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  return aPacket.mSequence - aRecord.mCallerInitial <= kAckWindow;
+}
+
+void noteCaller(base::Time aNow, FlowRecord& aRecord, std::uint32_t aNext)
+{
+  const bool isAhead = static_cast<std::int32_t>(aNext - aRecord.mCallerNext) > 0;
+  aRecord.mCallerNext = !aRecord.mKnowsCallerNext || isAhead ? aNext : aRecord.mCallerNext;
+  aRecord.mKnowsCallerNext = true;
+  aRecord.mLastCaller = aNow;
+  aRecord.mCallerProbes = 0;
+}
+
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
 {
   return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
@@ -43,6 +58,7 @@
   , mAdmission(aSettings.mAdmission)
   , mPending(aSettings.mAdmission.mMaxHeld, aSettings.mAdmission.mMaxHeld)
   , mChain(mPeers)
+  , mKeepAlive(aSettings.mKeepAlive)
 {
 }
 
@@ -55,6 +71,8 @@
   mConfiguration = std::move(aConfiguration);
   const auto before = std::exchange(mUpstream, std::nullopt);
   const std::uint64_t identity = before ? before->mIdentity : 0;
+  const std::uint64_t serviceBefore = mService;
+  const flow::Endpoint addressBefore = mServiceAddress;
   mReportTargets.clear();
   mReporters.clear();
   mAdmission.forgetReports();
@@ -77,7 +95,31 @@
   if (mUpstream && mUpstream->mIdentity != identity) {
     mAdmission.restart(aNow);
   }
-  return before == mUpstream ? Actions{} : Actions{ assignment() };
+  Actions actions;
+  // Another VM, or the same one for another service, has none of the flows that are on record.
+  const bool isAnother = before && mUpstream &&
+                         (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
+                          addressBefore != mServiceAddress);
+  if (isAnother) {
+    actions = releaseFlows(aNow);
+  }
+  if (before != mUpstream) {
+    actions.emplace_back(assignment());
+  }
+  return actions;
+}
+
+Actions Decisions::releaseFlows(base::Time aNow)
+{
+  Actions actions;
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+    actions.emplace_back(close(aNow, aFlow, aRecord, "upstream_replaced"));
+    return true;
+  });
+  mInquiry.clear();
+  mUpstreamWatch = {};
+  mStarted = aNow;
+  return actions;
 }
 
 telemetry::Event Decisions::assignment() const
@@ -144,6 +186,10 @@
   }
   // A retransmission, or a SYN in a living connection, which the upstream's TCP answers itself
   // (RFC 5961, section 4).
+  if (isReuse && !mConfiguration->mayOpen(*mUpstream)) {
+    return mChain.pass(aNow, aPacket, std::move(aForward));
+  }
+  record->mPendingInitial = isReuse ? aPacket.mSequence : 0;
   record->mLastSeen = aNow;
   flow::stripSynPayload(aForward.mPacket, aPacket);
   flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
@@ -155,7 +201,8 @@
   if (mHeldFlows.count(aPacket.keyFromCaller()) > 0) {
     return { DropPacket{ DropReason::kHeldAlready } };
   }
-  admission::Offer offer = mAdmission.offer(aNow, mConfiguration->mayOpen(*mUpstream));
+  admission::Offer offer =
+    mAdmission.offer(aNow, mConfiguration->mayOpen(*mUpstream) && mUpstreamWatch.mayOpen(aNow));
   offer.mRoom = mPending.flows() == 0 ? offer.mRoom : std::uint16_t{ 0 };
   const auto count = aForward.mPosition + (mChain.hasNext(aForward) ? 2 : 1);
   const admission::Step step =
@@ -184,6 +231,7 @@
   record.mKnowsCallerNext = true;
   record.mLastSeen = aNow;
   mFlows.insert(aPacket.keyFromCaller(), record);
+  mUpstreamWatch.noteSyn(aNow);
   mInquiry.erase(aPacket.keyFromCaller());
   mAdmission.flowOpened(aNow);
   flow::stripSynPayload(aForward.mPacket, aPacket);
@@ -216,6 +264,10 @@
     const bool isOwned = record->mIsAnswered && aPacket.has(flow::kAck) &&
                          aPacket.mAcknowledgement == record->mUpstreamNext;
     const bool isReset = aPacket.has(flow::kRst) && aPacket.mSequence == record->mCallerInitial + 1;
+    if (!isOwned && !isReset && !isOfAttempt(*record, aPacket)) {
+      // Left over from an earlier connection of this port; says nothing about this one.
+      return mChain.pass(aNow, aPacket, std::move(aForward));
+    }
     if (!isOwned && !isReset) {
       Actions actions = abandonHalfOpen(aNow, key, *record);
       Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
@@ -285,7 +337,9 @@
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
   aRecord.mLastSeen = aNow;
+  // Whether payload is new is judged by what was seen before this segment.
   trackCallerPayload(aNow, aRecord, aPacket);
+  noteCaller(aNow, aRecord, aPacket.nextSequence());
   Actions actions;
   actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket });
   if (aForward.mPosition > 0 && aForward.mIngress.mPort != 0) {
@@ -387,7 +441,16 @@
   }
   if (packet->has(flow::kSyn)) {
     flow::clampMss(aPacket, *packet, mSettings.mMaxSegment);
-    record->mIsAnswered = true;
+    acceptSyn(aNow, *packet, *record, actions);
+  }
+  const bool isRefusal =
+    record != nullptr && packet->has(flow::kRst) && record->mState == FlowState::kHalfOpen;
+  if (isRefusal && !record->mIsAnswered) {
+    // Nothing ran. The caller's next SYN finds the flow without a record and goes elsewhere.
+    mUpstreamWatch.noteRefused(aNow);
+    actions.emplace_back(close(aNow, key, *record, "upstream_refused"));
+    mFlows.erase(key);
+    return actions;
   }
   actions.emplace_back(SendToCaller{ std::move(aPacket) });
   if (record == nullptr) {
@@ -408,6 +471,11 @@
     record->mKnowsUpstreamNext = true;
   }
   record->mLastSeen = aNow;
+  record->mLastUpstream = aNow;
+  record->mUpstreamProbes = 0;
+  if (!record->mKnowsCallerNext && packet->has(flow::kAck)) {
+    noteCaller(aNow, *record, packet->mAcknowledgement);
+  }
   trackUpstreamPayload(aNow, *record, *packet);
   record->mHasUpstreamFin = record->mHasUpstreamFin || packet->has(flow::kFin);
   if (record->mHasCallerFin && record->mHasUpstreamFin) {
@@ -417,6 +485,25 @@
   return actions;
 }
 
+void Decisions::acceptSyn(base::Time aNow,
+                          const flow::TcpPacket& aPacket,
+                          FlowRecord& aRecord,
+                          Actions& aActions)
+{
+  mUpstreamWatch.noteAccepted();
+  const bool isRenewed =
+    aRecord.mPendingInitial != 0 && aPacket.mAcknowledgement == aRecord.mPendingInitial + 1;
+  if (isRenewed) {
+    // The upstream had lost the connection of which this record tells: a new one took its place.
+    aActions.emplace_back(close(aNow, aPacket.keyFromUpstream(), aRecord, "port_reused"));
+    const std::uint32_t initial = aRecord.mPendingInitial;
+    aRecord = FlowRecord{};
+    aRecord.mCallerInitial = initial;
+    mAdmission.flowAdopted(aNow);
+  }
+  aRecord.mIsAnswered = true;
+}
+
 telemetry::Event Decisions::close(base::Time aNow,
                                   const flow::FlowKey& aFlow,
                                   const FlowRecord& aRecord,
@@ -435,6 +522,17 @@
              { "verdict", std::string(toString(verdictOf(aRecord))) } } };
 }
 
+void Decisions::keepAlive(base::Time aNow, Actions& aActions)
+{
+  if (!mUpstream || !mConfiguration->mayReceive(*mUpstream)) {
+    return;
+  }
+  mKeepAlive.beginRound();
+  mFlows.forEach([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
+    aRecord.mIsSilent = mKeepAlive.check(aNow, aFlow, mUpstream->mAddress, aRecord, aActions);
+  });
+}
+
 bool Decisions::isExpired(base::Time aNow, const FlowRecord& aRecord) const
 {
   const base::Duration idle = aNow - aRecord.mLastSeen;
@@ -453,12 +551,13 @@
 {
   mInquiry.expire(aNow);
   Actions actions;
+  keepAlive(aNow, actions);
   mFlows.eraseIf([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
-    if (!isExpired(aNow, aRecord)) {
+    if (!aRecord.mIsSilent && !isExpired(aNow, aRecord)) {
       updateLoad(aNow, aRecord);
       return false;
     }
-    actions.emplace_back(close(aNow, aFlow, aRecord, "expired"));
+    actions.emplace_back(close(aNow, aFlow, aRecord, aRecord.mIsSilent ? "silent" : "expired"));
     return true;
   });
   return actions;
