Order the time line by pulls of the configuration between peers

Cause: the pairs that bound clocks came mostly from callers and upstreams; with the logs of the product alone nothing bounded a clock. Ruled out: pairing every application from the service with those from peers, which is ambiguous where several processes read the service. Change: config_applied names the peer that the revision came from, process_started the advertised endpoint, and the tool pairs them. A process that only reads the service and is asked by nobody still has none.

--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -86,8 +86,9 @@
     perform(mDecisions.onPeerTick(net::MainLoop::now()));
     mSocket.flush();
   });
-  mLog.write(
-    { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
+  mLog.write({ telemetry::EventKind::kProcessStarted,
+               { { "listen", mSettings.mListen.toString() },
+                 { "advertise", mSettings.mAgent.mSelf.toString() } } });
   mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -56,8 +56,9 @@
   });
   mLoop.every(kProbeTick, [this] { probePeers(); });
   mLoop.onTerminate([this] { onTerminate(); });
-  mLog.write(
-    { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
+  mLog.write({ telemetry::EventKind::kProcessStarted,
+               { { "listen", mSettings.mListen.toString() },
+                 { "advertise", mSettings.mAdvertise.toString() } } });
   mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -111,8 +111,10 @@
   mBudget.charge(net::MainLoop::now(), bytes);
   count(ControlKind::kPull, "out", bytes);
   mPullClient.request(
-    aAction.mPeer, request, [this](const std::optional<net::ReceivedMessage>& aReply) {
-      onPullReply(aReply);
+    aAction.mPeer,
+    request,
+    [this, peer = aAction.mPeer](const std::optional<net::ReceivedMessage>& aReply) {
+      onPullReply(peer, aReply);
     });
 }
 
@@ -148,7 +150,7 @@
   perform(mDecisions.onServiceAnswer(net::MainLoop::now(), answer->mBatch.mRevision));
 }
 
-void Shell::onPullReply(const std::optional<net::ReceivedMessage>& aReply)
+void Shell::onPullReply(flow::Endpoint aPeer, const std::optional<net::ReceivedMessage>& aReply)
 {
   std::optional<wire::PullReply> reply;
   if (aReply) {
@@ -160,7 +162,7 @@
     perform(mDecisions.onPulled(net::MainLoop::now(), std::nullopt));
     return;
   }
-  merge(reply->mBatch, "peer");
+  merge(reply->mBatch, aPeer.toString());
   perform(mDecisions.onPulled(net::MainLoop::now(), reply->mBatch.mRevision));
 }
 
--- a/src/membership/shell.hpp
+++ b/src/membership/shell.hpp
@@ -69,7 +69,7 @@
   void perform(const telemetry::Event& aEvent);
   void sendAll(std::vector<ControlDatagram> aDatagrams);
   void onServiceResult(const net::ConfigResult& aResult);
-  void onPullReply(const std::optional<net::ReceivedMessage>& aReply);
+  void onPullReply(flow::Endpoint aPeer, const std::optional<net::ReceivedMessage>& aReply);
   flow::Bytes answerPull(std::span<const std::byte> aRequest);
   void merge(const config::DocumentBatch& aBatch, const std::string& aSource);
   void count(ControlKind aKind, const std::string& aDirection, std::size_t aBytes);
--- a/src/tools/timeline/causal_pair.cpp
+++ b/src/tools/timeline/causal_pair.cpp
@@ -73,6 +73,37 @@
   }
 }
 
+/// A process that pulled a revision from a peer applied it after the peer did. The event names the
+/// peer by the endpoint that this one advertised at its start.
+void appendPulls(const std::vector<LogEvent>& aEvents, std::vector<CausalPair>& aPairs)
+{
+  std::unordered_map<std::string, std::string> endpoints;
+  for (const LogEvent& event : aEvents) {
+    if (event.mKind == "process_started") {
+      endpoints[event.mProcess] = byField(event, "advertise");
+    }
+  }
+  std::unordered_map<std::string, std::size_t> causes;
+  for (std::size_t i = 0; i < aEvents.size(); ++i) {
+    const LogEvent& event = aEvents[i];
+    const auto found = endpoints.find(event.mProcess);
+    if (event.mKind == "config_applied" && found != endpoints.end()) {
+      const std::string key = found->second + "/" + byRevision(event);
+      const auto [entry, isNew] = causes.emplace(key, i);
+      entry->second = isNew ? i : kAmbiguous;
+    }
+  }
+  for (std::size_t i = 0; i < aEvents.size(); ++i) {
+    if (aEvents[i].mKind != "config_applied") {
+      continue;
+    }
+    const auto found = causes.find(byField(aEvents[i], "source") + "/" + byRevision(aEvents[i]));
+    if (found != causes.end() && found->second != kAmbiguous) {
+      aPairs.push_back({ found->second, i });
+    }
+  }
+}
+
 } // namespace
 
 std::vector<CausalPair> findCausalPairs(const std::vector<LogEvent>& aEvents)
@@ -81,6 +112,7 @@
   for (const CausalRule& rule : kRules) {
     appendPairs(aEvents, rule, pairs);
   }
+  appendPulls(aEvents, pairs);
   return pairs;
 }
 
--- a/tests/unit/test_timeline.cpp
+++ b/tests/unit/test_timeline.cpp
@@ -103,6 +103,18 @@
   BOOST_TEST(ordered[0].mKind == "published");
 }
 
+BOOST_AUTO_TEST_CASE(orders_the_application_at_a_peer_before_that_of_who_pulled_it)
+{
+  const std::vector events = {
+    event(100, "process=b event=process_started listen=127.0.0.2:1 advertise=127.0.0.2:1"),
+    event(900, "process=a event=config_applied revision=4 source=127.0.0.2:1"),
+    event(1000, "process=b event=config_applied revision=4 source=service"),
+  };
+  const auto ordered = correctTimes(events, estimate(events));
+  BOOST_TEST(ordered[1].mProcess == "b");
+  BOOST_TEST(ordered[2].mProcess == "a");
+}
+
 BOOST_AUTO_TEST_CASE(filters_by_flow_upstream_zone_kind_process_and_time)
 {
   const std::vector events = {
