--- a/src/agent/actions.hpp
+++ b/src/agent/actions.hpp
@@ -3,6 +3,7 @@
 #include "telemetry/event.hpp"
 #include "wire/message.hpp"
 
+#include <array>
 #include <variant>
 #include <vector>
 
@@ -21,6 +22,13 @@
   kNoRecord,       ///< a SYN-ACK of the upstream for a flow without a record
 };
 
+/// @brief Every reason, in the order of the enumeration.
+inline constexpr std::array kDropReasons = {
+  DropReason::kMalformed, DropReason::kNotConfigured, DropReason::kForeignService,
+  DropReason::kZoneOut,   DropReason::kNoOwner,       DropReason::kHeldAlready,
+  DropReason::kNotOwned,  DropReason::kNoRecord,
+};
+
 /// @brief Name of the reason in logs and metrics.
 std::string_view toString(DropReason aReason);
 
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -81,8 +81,9 @@
     mSocket.flush();
   });
   mLoop.every(kProbeTick, [this] { onPeerTick(); });
-  mLog.write(
-    { telemetry::EventKind::kProcessStarted, { { "listen", mSettings.mListen.toString() } } });
+  mLog.write({ telemetry::EventKind::kProcessStarted,
+               { { "listen", mSettings.mListen.toString() },
+                 { "advertise", mSettings.mAgent.mSelf.toString() } } });
   mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
--- a/src/balancer/balancer_metrics.cpp
+++ b/src/balancer/balancer_metrics.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-constexpr std::array kDropReasons = {
-  DropReason::kMalformed,
-  DropReason::kNoService,
-  DropReason::kNoUpstream,
-};
-
 } // namespace
 
 BalancerMetrics::BalancerMetrics(telemetry::Metrics& aMetrics,
