Don't act on a part of the configuration while it still arrives

Cause: a fresh balancer that pulled 12,000 services from one peer was confirmed by its timeout after 5 s at revision 5,257 of 12,000; the availability zones could have been in the rest. Ruled out: a longer timeout (it would also hold back a process that nobody answers). Change: the timeout counts from the last step towards the revision that a peer told.

--- a/src/membership/confirmation.cpp
+++ b/src/membership/confirmation.cpp
@@ -11,7 +11,8 @@
   mHasConfirmedReply = false;
   mHasServiceAnswer = false;
   mTarget = 0;
-  mBegunAt = aNow;
+  mReached = 0;
+  mProgressAt = aNow;
   mAskedAt = aNow;
   mWaitingFor.clear();
 }
@@ -52,7 +53,12 @@
   if (mIsConfirmed || aRevision == 0) {
     return false;
   }
-  const bool isOver = aNow - mBegunAt >= mSettings.mConfirmTimeout;
+  // A fresh process takes a large configuration in parts: the zones may come last.
+  if (aRevision > mReached && aRevision < mTarget) {
+    mProgressAt = aNow;
+  }
+  mReached = aRevision;
+  const bool isOver = aNow - mProgressAt >= mSettings.mConfirmTimeout;
   const bool isMet = holds(aNow, aRevision);
   mIsConfirmed = isMet || isOver;
   mHasTimedOut = isOver && !isMet;
--- a/src/membership/confirmation.hpp
+++ b/src/membership/confirmation.hpp
@@ -11,8 +11,9 @@
 ///
 /// Confirmed means that a peer whose own view is confirmed told a revision that this process has
 /// reached; or, when no such peer answered, that the service answered and every peer asked has
-/// answered or had its time. After Settings::mConfirmTimeout a process that has a configuration
-/// acts on it in any case: the peers and the service may all be out of reach for hours.
+/// answered or had its time. Settings::mConfirmTimeout after the last progress, a process that has
+/// a configuration acts on it in any case: the peers and the service may all be out of reach for
+/// hours.
 class Confirmation
 {
 public:
@@ -48,7 +49,8 @@
   bool mHasConfirmedReply = false;
   bool mHasServiceAnswer = false;
   std::uint64_t mTarget = 0;
-  base::Time mBegunAt;
+  std::uint64_t mReached = 0;
+  base::Time mProgressAt; ///< begin of the round or last step towards mTarget
   base::Time mAskedAt;
   std::set<flow::Endpoint> mWaitingFor;
 };
--- a/src/membership/settings.hpp
+++ b/src/membership/settings.hpp
@@ -23,7 +23,7 @@
   std::size_t mConfirmPeers = 3;   ///< peers that are asked before forwarding
   base::Duration mPullJitter = std::chrono::milliseconds(200);
   base::Duration mPeerReplyTimeout = std::chrono::seconds(1);
-  base::Duration mConfirmTimeout = std::chrono::seconds(5); ///< after it the process acts anyway
+  base::Duration mConfirmTimeout = std::chrono::seconds(5); ///< then it acts anyway
   base::Duration mPauseGap = std::chrono::seconds(2);       ///< a clock gap that counts as a pause
   base::Duration mServiceStaleAfter = std::chrono::seconds(20);
   base::Duration mServiceStaleJitter = std::chrono::seconds(60);
--- a/tests/unit/test_membership_decisions.cpp
+++ b/tests/unit/test_membership_decisions.cpp
@@ -123,6 +123,23 @@
   BOOST_TEST(process.mayForward());
 }
 
+BOOST_AUTO_TEST_CASE(a_process_that_takes_long_to_catch_up_does_not_act_on_a_part)
+{
+  membership::Decisions process(settingsOf());
+  process.start(kStart);
+  const auto asked = questionsOf(process.apply(kStart, test::makeConfiguration(3, 1), {}));
+  process.onHeartbeat(kStart, 20, replyTo(asked.at(0)));
+  for (std::uint64_t revision = 2; revision < 20; ++revision) {
+    process.apply(kStart + revision * 1s, test::makeConfiguration(3, revision), {});
+    process.onTick(kStart + revision * 1s);
+    BOOST_TEST(!process.mayForward());
+  }
+  for (base::Time now = kStart + 20s; now <= kStart + 25s; now += 1s) {
+    process.onTick(now);
+  }
+  BOOST_TEST(process.mayForward());
+}
+
 BOOST_AUTO_TEST_CASE(a_paused_process_holds_back_and_acts_after_five_seconds_when_nobody_answers)
 {
   auto process = makeConfirmed(5);
