End measured processes at once

Cause: a fleet of 20 took half a minute to end: each process waited for its graceful shutdown, one after the other. Change: bench-control kills the processes that it started.

--- a/bench/control/child_process.cpp
+++ b/bench/control/child_process.cpp
@@ -49,8 +49,7 @@
 ChildProcess::~ChildProcess()
 {
   if (mPid > 0) {
-    kill(mPid, SIGCONT);
-    kill(mPid, SIGTERM);
+    kill(mPid, SIGKILL); // a graceful shutdown would wait for flows that don't come
     waitpid(mPid, nullptr, 0);
   }
 }
