--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -21,6 +21,29 @@
   return !aRecord.mKnowsUpstreamNext || aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
 }
 
+/// True if the packet carries data that the agent has not seen before.
+bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
+  return aPacket.mPayloadLength > 0 &&
+         (!aRecord.mKnowsCallerNext || static_cast<std::int32_t>(end - aRecord.mCallerNext) > 0);
+}
+
+/// True if the segment belongs to the connection that the record's SYN opens.
+bool isOfAttempt(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  return aPacket.mSequence - aRecord.mCallerInitial <= kAckWindow;
+}
+
+void noteCaller(base::Time aNow, FlowRecord& aRecord, std::uint32_t aNext)
+{
+  const bool isAhead = static_cast<std::int32_t>(aNext - aRecord.mCallerNext) > 0;
+  aRecord.mCallerNext = !aRecord.mKnowsCallerNext || isAhead ? aNext : aRecord.mCallerNext;
+  aRecord.mKnowsCallerNext = true;
+  aRecord.mLastCaller = aNow;
+  aRecord.mCallerProbes = 0;
+}
+
 flow::RunVerdict verdictOf(const FlowRecord& aRecord)
 {
   return aRecord.mState == FlowState::kHalfOpen ? flow::RunVerdict::kNotRun
@@ -32,8 +55,10 @@
 Decisions::Decisions(const AgentSettings& aSettings)
   : mSettings(aSettings)
   , mConfiguration(std::make_shared<const config::Configuration>())
-  , mAdmission(aSettings.mMaxFlows)
+  , mAdmission(aSettings.mAdmission)
+  , mPending(aSettings.mAdmission.mMaxHeld, aSettings.mAdmission.mMaxHeld)
   , mChain(mPeers)
+  , mKeepAlive(aSettings.mKeepAlive)
 {
 }
 
@@ -45,6 +70,12 @@
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
   const auto before = std::exchange(mUpstream, std::nullopt);
+  const std::uint64_t identity = before ? before->mIdentity : 0;
+  const std::uint64_t serviceBefore = mService;
+  const flow::Endpoint addressBefore = mServiceAddress;
+  mReportTargets.clear();
+  mReporters.clear();
+  mAdmission.forgetReports();
   mChain.configure(mConfiguration, nullptr);
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
@@ -52,12 +83,43 @@
         mUpstream = upstream;
         mServiceAddress = service.mAddress;
         mService = config::upstreamIdentity(name, "");
-        mAdmission.configure(upstream.mSlots);
+        mAdmission.configure(aNow,
+                             upstream.mSlots,
+                             mConfiguration->mayOpen(upstream),
+                             upstream.mState == config::UpstreamState::kJoining);
+        collectReporters(service);
         mChain.configure(mConfiguration, &service);
       }
     }
   }
-  return before == mUpstream ? Actions{} : Actions{ assignment() };
+  if (mUpstream && mUpstream->mIdentity != identity) {
+    mAdmission.restart(aNow);
+  }
+  Actions actions;
+  // Another VM, or the same one for another service, has none of the flows that are on record.
+  const bool isAnother = before && mUpstream &&
+                         (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
+                          addressBefore != mServiceAddress);
+  if (isAnother) {
+    actions = releaseFlows(aNow);
+  }
+  if (before != mUpstream) {
+    actions.emplace_back(assignment());
+  }
+  return actions;
+}
+
+Actions Decisions::releaseFlows(base::Time aNow)
+{
+  Actions actions;
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
+    actions.emplace_back(close(aNow, aFlow, aRecord, "upstream_replaced"));
+    return true;
+  });
+  mInquiry.clear();
+  mUpstreamWatch = {};
+  mStarted = aNow;
+  return actions;
 }
 
 telemetry::Event Decisions::assignment() const
@@ -72,6 +134,16 @@
              { "state", std::string(toString(mUpstream->mState)) } } };
 }
 
+void Decisions::collectReporters(const config::Service& aService)
+{
+  for (const auto& upstream : aService.mUpstreams) {
+    if (upstream.mAgent != mSettings.mSelf && mConfiguration->mayOpen(upstream)) {
+      mReportTargets.push_back(upstream.mAgent);
+      mReporters.insert(upstream.mIdentity);
+    }
+  }
+}
+
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
 {
   const auto packet = flow::TcpPacket::parse(aForward.mPacket);
@@ -114,6 +186,10 @@
   }
   // A retransmission, or a SYN in a living connection, which the upstream's TCP answers itself
   // (RFC 5961, section 4).
+  if (isReuse && !mConfiguration->mayOpen(*mUpstream)) {
+    return mChain.pass(aNow, aPacket, std::move(aForward));
+  }
+  record->mPendingInitial = isReuse ? aPacket.mSequence : 0;
   record->mLastSeen = aNow;
   flow::stripSynPayload(aForward.mPacket, aPacket);
   flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
@@ -122,14 +198,40 @@
 
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
-  const bool isEligible = mConfiguration->mayOpen(*mUpstream);
-  if (!isEligible || mAdmission.decide(aNow) != admission::Verdict::kAdmit) {
+  if (mHeldFlows.count(aPacket.keyFromCaller()) > 0) {
+    return { DropPacket{ DropReason::kHeldAlready } };
+  }
+  admission::Offer offer =
+    mAdmission.offer(aNow, mConfiguration->mayOpen(*mUpstream) && mUpstreamWatch.mayOpen(aNow));
+  offer.mRoom = mPending.flows() == 0 ? offer.mRoom : std::uint16_t{ 0 };
+  const auto count = aForward.mPosition + (mChain.hasNext(aForward) ? 2 : 1);
+  const admission::Step step =
+    admission::decide(aForward.mWalk, aForward.mPosition, static_cast<std::uint8_t>(count), offer);
+  if (const auto* pass = std::get_if<admission::PassTo>(&step)) {
+    return passOpening(aNow, aPacket, std::move(aForward), *pass);
+  }
+  if (std::holds_alternative<admission::Hold>(step)) {
+    return hold(aNow, aPacket, std::move(aForward));
+  }
+  if (std::holds_alternative<admission::Refuse>(step)) {
+    // None of these candidates is eligible; there may be others.
+    aForward.mWalk = {};
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
+  return admit(aNow, aPacket, std::move(aForward));
+}
+
+Actions Decisions::admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
+{
   FlowRecord record;
   record.mCallerInitial = aPacket.mSequence;
+  record.mIsExpected = true;
+  record.mBusySince = aNow;
+  record.mCallerNext = aPacket.mSequence + 1;
+  record.mKnowsCallerNext = true;
   record.mLastSeen = aNow;
   mFlows.insert(aPacket.keyFromCaller(), record);
+  mUpstreamWatch.noteSyn(aNow);
   mInquiry.erase(aPacket.keyFromCaller());
   mAdmission.flowOpened(aNow);
   flow::stripSynPayload(aForward.mPacket, aPacket);
@@ -162,6 +264,10 @@
     const bool isOwned = record->mIsAnswered && aPacket.has(flow::kAck) &&
                          aPacket.mAcknowledgement == record->mUpstreamNext;
     const bool isReset = aPacket.has(flow::kRst) && aPacket.mSequence == record->mCallerInitial + 1;
+    if (!isOwned && !isReset && !isOfAttempt(*record, aPacket)) {
+      // Left over from an earlier connection of this port; says nothing about this one.
+      return mChain.pass(aNow, aPacket, std::move(aForward));
+    }
     if (!isOwned && !isReset) {
       Actions actions = abandonHalfOpen(aNow, key, *record);
       Actions passed = mChain.pass(aNow, aPacket, std::move(aForward));
@@ -174,6 +280,9 @@
   } else if (!fits) {
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
+  if (mustWait(*record, aPacket)) {
+    return holdRequest(aNow, *record, aPacket, std::move(aForward));
+  }
   return deliver(aNow, *record, aPacket, aForward);
 }
 
@@ -228,7 +337,9 @@
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
   aRecord.mLastSeen = aNow;
+  // Whether payload is new is judged by what was seen before this segment.
   trackCallerPayload(aNow, aRecord, aPacket);
+  noteCaller(aNow, aRecord, aPacket.nextSequence());
   Actions actions;
   actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket });
   if (aForward.mPosition > 0 && aForward.mIngress.mPort != 0) {
@@ -251,19 +362,30 @@
                                    FlowRecord& aRecord,
                                    const flow::TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0 || aRecord.mIsBusy) {
+  if (!isNewPayload(aRecord, aPacket)) {
     return;
   }
+  aRecord.mCallerNext = aPacket.nextSequence();
+  aRecord.mKnowsCallerNext = true;
+  if (aRecord.mIsBusy || aRecord.mIsOneWay || aRecord.mIsHeld) {
+    return;
+  }
+  noteFirstRequest(aNow, aRecord);
   aRecord.mIsBusy = true;
   aRecord.mBusySince = aNow;
-  mAdmission.requestStarted(aNow);
+  mAdmission.requestStarted(aNow, aRecord.mIsExpected);
+  aRecord.mIsExpected = false;
 }
 
 void Decisions::trackUpstreamPayload(base::Time aNow,
                                      FlowRecord& aRecord,
                                      const flow::TcpPacket& aPacket)
 {
-  if (aPacket.mPayloadLength == 0 || !aRecord.mIsBusy) {
+  if (aPacket.mPayloadLength == 0) {
+    return;
+  }
+  aRecord.mIsOneWay = false;
+  if (!aRecord.mIsBusy) {
     return;
   }
   aRecord.mIsBusy = false;
@@ -313,21 +435,34 @@
     adopted.mState = FlowState::kEstablished;
     record = &mFlows.insert(key, adopted);
     mInquiry.erase(key);
-    mAdmission.flowOpened(aNow);
+    mAdmission.flowAdopted(aNow);
     actions.emplace_back(
       telemetry::Event{ telemetry::EventKind::kFlowAdopted, { { "flow", key.toString() } } });
   }
   if (packet->has(flow::kSyn)) {
     flow::clampMss(aPacket, *packet, mSettings.mMaxSegment);
-    record->mIsAnswered = true;
+    acceptSyn(aNow, *packet, *record, actions);
+  }
+  const bool isRefusal =
+    record != nullptr && packet->has(flow::kRst) && record->mState == FlowState::kHalfOpen;
+  if (isRefusal && !record->mIsAnswered) {
+    // Nothing ran. The caller's next SYN finds the flow without a record and goes elsewhere.
+    mUpstreamWatch.noteRefused(aNow);
+    actions.emplace_back(close(aNow, key, *record, "upstream_refused"));
+    mFlows.erase(key);
+    return actions;
   }
   actions.emplace_back(SendToCaller{ std::move(aPacket) });
   if (record == nullptr) {
     return actions;
   }
   if (packet->has(flow::kRst)) {
+    if (record->mIsBusy || !record->mIsAnswered) {
+      mAdmission.upstreamReset(aNow);
+    }
     actions.emplace_back(close(aNow, key, *record, "upstream_reset"));
     mFlows.erase(key);
+    release(aNow, actions);
     return actions;
   }
   const std::uint32_t next = packet->nextSequence();
@@ -336,14 +471,39 @@
     record->mKnowsUpstreamNext = true;
   }
   record->mLastSeen = aNow;
+  record->mLastUpstream = aNow;
+  record->mUpstreamProbes = 0;
+  if (!record->mKnowsCallerNext && packet->has(flow::kAck)) {
+    noteCaller(aNow, *record, packet->mAcknowledgement);
+  }
   trackUpstreamPayload(aNow, *record, *packet);
   record->mHasUpstreamFin = record->mHasUpstreamFin || packet->has(flow::kFin);
   if (record->mHasCallerFin && record->mHasUpstreamFin) {
     record->mState = FlowState::kClosing;
   }
+  release(aNow, actions);
   return actions;
 }
 
+void Decisions::acceptSyn(base::Time aNow,
+                          const flow::TcpPacket& aPacket,
+                          FlowRecord& aRecord,
+                          Actions& aActions)
+{
+  mUpstreamWatch.noteAccepted();
+  const bool isRenewed =
+    aRecord.mPendingInitial != 0 && aPacket.mAcknowledgement == aRecord.mPendingInitial + 1;
+  if (isRenewed) {
+    // The upstream had lost the connection of which this record tells: a new one took its place.
+    aActions.emplace_back(close(aNow, aPacket.keyFromUpstream(), aRecord, "port_reused"));
+    const std::uint32_t initial = aRecord.mPendingInitial;
+    aRecord = FlowRecord{};
+    aRecord.mCallerInitial = initial;
+    mAdmission.flowAdopted(aNow);
+  }
+  aRecord.mIsAnswered = true;
+}
+
 telemetry::Event Decisions::close(base::Time aNow,
                                   const flow::FlowKey& aFlow,
                                   const FlowRecord& aRecord,
@@ -352,6 +512,9 @@
   if (aRecord.mIsBusy) {
     mAdmission.requestAbandoned(aNow);
   }
+  if (aRecord.mIsExpected) {
+    mAdmission.expectationEnded(aNow);
+  }
   mAdmission.flowClosed(aNow);
   return { telemetry::EventKind::kFlowClosed,
            { { "flow", aFlow.toString() },
@@ -359,6 +522,17 @@
              { "verdict", std::string(toString(verdictOf(aRecord))) } } };
 }
 
+void Decisions::keepAlive(base::Time aNow, Actions& aActions)
+{
+  if (!mUpstream || !mConfiguration->mayReceive(*mUpstream)) {
+    return;
+  }
+  mKeepAlive.beginRound();
+  mFlows.forEach([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
+    aRecord.mIsSilent = mKeepAlive.check(aNow, aFlow, mUpstream->mAddress, aRecord, aActions);
+  });
+}
+
 bool Decisions::isExpired(base::Time aNow, const FlowRecord& aRecord) const
 {
   const base::Duration idle = aNow - aRecord.mLastSeen;
@@ -377,11 +551,13 @@
 {
   mInquiry.expire(aNow);
   Actions actions;
-  mFlows.eraseIf([&](const flow::FlowKey& aFlow, const FlowRecord& aRecord) {
-    if (!isExpired(aNow, aRecord)) {
+  keepAlive(aNow, actions);
+  mFlows.eraseIf([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
+    if (!aRecord.mIsSilent && !isExpired(aNow, aRecord)) {
+      updateLoad(aNow, aRecord);
       return false;
     }
-    actions.emplace_back(close(aNow, aFlow, aRecord, "expired"));
+    actions.emplace_back(close(aNow, aFlow, aRecord, aRecord.mIsSilent ? "silent" : "expired"));
     return true;
   });
   return actions;
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -16,12 +16,24 @@
               "[Addresses] ADDRESS:PORT to which IP packets for callers are sent in UDP");
 DEFINE_string(name, "agent", "[Logs] name of this process in logs");
 DEFINE_uint32(max_flows, 2000, "[Limits] connections that the upstream holds at most");
+DEFINE_uint32(cold_limit,
+              1,
+              "[Limits] requests at once that the upstream gets during a cold start");
+DEFINE_uint32(cold_start_seconds,
+              30,
+              "[Limits] seconds that a cold start of the upstream lasts at most");
+DEFINE_uint32(hold_ms,
+              750,
+              "[Limits] milliseconds that a new flow waits for room before it is refused");
 DEFINE_uint32(max_segment, 1380, "[Limits] bytes; upper bound for the MSS option of both sides");
 DEFINE_bool(log_flows, false, "[Logs] log an event for each flow that opens or closes");
 
 namespace {
 
 constexpr std::uint32_t kMaxFlows = 16777216;
+constexpr std::uint32_t kMaxColdLimit = 65535;
+constexpr std::uint32_t kMaxColdStartSeconds = 86400;
+constexpr std::uint32_t kMaxHoldMs = 900;   // below the callers' first retransmission (RFC 6298)
 constexpr std::uint32_t kMinSegment = 536;  // bytes; RFC 9293, section 3.7.1
 constexpr std::uint32_t kMaxSegment = 9000; // bytes; jumbo frames
 
@@ -41,7 +53,10 @@
   settings.mListen = check.endpoint("listen", FLAGS_listen);
   settings.mAgent.mSelf =
     FLAGS_advertise.empty() ? settings.mListen : check.endpoint("advertise", FLAGS_advertise);
-  settings.mAgent.mMaxFlows = FLAGS_max_flows;
+  settings.mAgent.mAdmission.mMaxFlows = FLAGS_max_flows;
+  settings.mAgent.mAdmission.mLimit.mColdLimit = FLAGS_cold_limit;
+  settings.mAgent.mAdmission.mLimit.mColdStart = std::chrono::seconds(FLAGS_cold_start_seconds);
+  settings.mAgent.mAdmission.mHold = std::chrono::milliseconds(FLAGS_hold_ms);
   settings.mAgent.mMaxSegment = static_cast<std::uint16_t>(FLAGS_max_segment);
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
   settings.mMembership = membership::readFlags(check, settings.mAgent.mSelf, settings.mListen);
@@ -49,6 +64,9 @@
   settings.mName = FLAGS_name;
   settings.mLogFlows = FLAGS_log_flows;
   check.range("max_flows", FLAGS_max_flows, 1, kMaxFlows);
+  check.range("cold_limit", FLAGS_cold_limit, 1, kMaxColdLimit);
+  check.range("cold_start_seconds", FLAGS_cold_start_seconds, 0, kMaxColdStartSeconds);
+  check.range("hold_ms", FLAGS_hold_ms, 0, kMaxHoldMs);
   check.range("max_segment", FLAGS_max_segment, kMinSegment, kMaxSegment);
   check.reachable("advertise", settings.mAgent.mSelf);
   check.distinct({ { "listen", settings.mListen },
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr base::Duration kTick = std::chrono::seconds(1);
+constexpr base::Duration kHoldTick = std::chrono::milliseconds(20);
+constexpr base::Duration kReportInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
 
 bool isFlowEvent(const telemetry::Event& aEvent)
@@ -55,6 +57,16 @@
     perform(mDecisions.onTick(net::MainLoop::now()));
     mSocket.flush();
   });
+  mLoop.every(kHoldTick, [this] {
+    if (mMembership.mayForward()) {
+      perform(mDecisions.onHoldTimer(net::MainLoop::now()));
+      mSocket.flush();
+    }
+  });
+  mLoop.every(kReportInterval, [this] {
+    perform(mDecisions.onReportTimer(net::MainLoop::now()));
+    mSocket.flush();
+  });
   mLoop.every(kProbeTick, [this] {
     perform(mDecisions.onPeerTick(net::MainLoop::now()));
     mSocket.flush();
@@ -105,6 +117,8 @@
       return;
     }
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
+  } else if (const auto* report = std::get_if<wire::LoadReport>(&frame.mMessage)) {
+    mDecisions.onLoadReport(net::MainLoop::now(), *report);
   }
 }
 
@@ -168,6 +182,9 @@
            { "flows", mDecisions.flows().size() },
            { "suspected_agents", mDecisions.peers().suspects() },
            { "busy", admission.busy() },
+           { "held_flows", mDecisions.pending().flows() },
+           { "held_requests", mDecisions.pending().requests() },
+           { "cold", admission.isCold() },
            { "limit", admission.limit() },
            { "membership", mMembership.status() } };
 }
