--- a/tests/unit/test_membership_decisions.cpp
+++ b/tests/unit/test_membership_decisions.cpp
@@ -2,7 +2,6 @@
 #include "unit/support/configuration.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <rapidcheck.h>
 
 using namespace cornelcross;
 using namespace std::chrono_literals;
