--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -1,6 +1,8 @@
 #include "balancer/shell.hpp"
 
-#include <prometheus/counter.h>
+#include "balancer/balancer_status.hpp"
+#include "net/socket_metrics.hpp"
+#include "telemetry/process_metrics.hpp"
 
 namespace cornelcross::balancer {
 
@@ -24,17 +26,27 @@
         mSocket.flush();
       },
       [this](config::ConfigurationPtr aConfiguration) {
-        mDecisions.apply(std::move(aConfiguration));
+        onConfiguration(std::move(aConfiguration));
       })
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
       [this] { return health(); })
-  , mPath(mDecisions, mSocket, [this](DropReason aReason) { countDrop(toString(aReason)); })
-  , mPackets(mMetrics.counter("cornelcross_packets_received_total", "IP packets from the fabric"))
-  , mProbes(mMetrics.counter("cornelcross_probes_total", "Probes sent to peers"))
+  , mPath(mDecisions,
+          mSocket,
+          [this](DropReason aReason) { mBalancerMetrics.noteDrop(toString(aReason)); })
+  , mBalancerMetrics(mMetrics, mDecisions, mPath)
+  , mConfigMetrics(mMetrics)
 {
+  telemetry::registerProcessMetrics(mMetrics, "balancer");
+  net::registerSocketMetrics(mMetrics, mSocket);
+}
+
+void Shell::onConfiguration(config::ConfigurationPtr aConfiguration)
+{
+  mConfigMetrics.update(*aConfiguration);
+  mDecisions.apply(std::move(aConfiguration));
 }
 
 void Shell::run()
@@ -56,10 +68,9 @@
   if (wire::isFrame(aDatagram)) {
     onFrame(aDatagram, aFrom);
   } else if (!mMembership.mayForward()) {
-    countDrop("unconfirmed");
+    mBalancerMetrics.noteDrop("unconfirmed");
   } else {
     mPath.handle(net::MainLoop::now(), aDatagram);
-    mPackets.Increment();
   }
 }
 
@@ -67,7 +78,7 @@
 {
   const auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
-    countDrop(wire::toString(*error));
+    mBalancerMetrics.noteDrop(wire::toString(*error));
     return;
   }
   const auto& frame = std::get<wire::Frame>(decoded);
@@ -84,20 +95,10 @@
 void Shell::probePeers()
 {
   for (const flow::Endpoint peer : mDecisions.peers().takeProbes(net::MainLoop::now())) {
-    mProbes.Increment();
     mMembership.send(peer, wire::Probe{ ++mNonce });
   }
 }
 
-void Shell::countDrop(std::string_view aReason)
-{
-  mMetrics
-    .counter("cornelcross_datagrams_dropped_total",
-             "Datagrams dropped, by reason",
-             { { "reason", std::string(aReason) } })
-    .Increment();
-}
-
 net::Health Shell::health()
 {
   if (mIsStopping) {
@@ -122,11 +123,9 @@
 
 nlohmann::json Shell::status() const
 {
-  return { { "name", mSettings.mName },
-           { "role", "balancer" },
-           { "revision", mDecisions.revision() },
-           { "suspected_agents", mDecisions.peers().suspects() },
-           { "membership", mMembership.status() } };
+  nlohmann::json status = makeStatus(mSettings.mName, mDecisions, mIsStopping);
+  status["membership"] = mMembership.status();
+  return status;
 }
 
 } // namespace cornelcross::balancer
