--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -6,7 +6,9 @@
 #include "agent/agent_settings.hpp"
 #include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
+#include "agent/keep_alive.hpp"
 #include "agent/upstream_inquiry.hpp"
+#include "agent/upstream_watch.hpp"
 #include "config/configuration.hpp"
 #include "flow/run_verdict.hpp"
 
@@ -105,6 +107,12 @@
                          const flow::FlowKey& aFlow,
                          const FlowRecord& aRecord,
                          const std::string& aReason);
+  Actions releaseFlows(base::Time aNow);
+  void acceptSyn(base::Time aNow,
+                 const flow::TcpPacket& aPacket,
+                 FlowRecord& aRecord,
+                 Actions& aActions);
+  void keepAlive(base::Time aNow, Actions& aActions);
   telemetry::Event assignment() const;
   bool isExpired(base::Time aNow, const FlowRecord& aRecord) const;
 
@@ -123,6 +131,8 @@
   membership::FailureDetector mPeers;
   Chain mChain;
   UpstreamInquiry mInquiry;
+  UpstreamWatch mUpstreamWatch;
+  KeepAlive mKeepAlive;
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
 };
