--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -1,6 +1,8 @@
 #include "agent/shell.hpp"
 
-#include <prometheus/counter.h>
+#include "agent/agent_status.hpp"
+#include "net/socket_metrics.hpp"
+#include "telemetry/process_metrics.hpp"
 
 namespace cornelcross::agent {
 
@@ -11,6 +13,8 @@
 constexpr base::Duration kReportInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
 
+constexpr std::size_t kRefusalsKept = 16;
+
 bool isFlowEvent(const telemetry::Event& aEvent)
 {
   using telemetry::EventKind;
@@ -25,6 +29,9 @@
   , mLog(aSettings.mName)
   , mDecisions(aSettings.mAgent)
   , mSocket(aSettings.mListen)
+  , mAgentMetrics(mMetrics, mDecisions)
+  , mConfigMetrics(mMetrics)
+  , mRefusals(kRefusalsKept)
   , mMembership(
       aSettings.mMembership,
       mLog,
@@ -34,7 +41,7 @@
         mSocket.flush();
       },
       [this](config::ConfigurationPtr aConfiguration) {
-        perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
+        onConfiguration(std::move(aConfiguration));
       })
   , mAdmin(
       aSettings.mAdmin,
@@ -42,6 +49,14 @@
       [this] { return status(); },
       [this] { return mMembership.mayForward() ? net::Health::kReady : net::Health::kStarting; })
 {
+  telemetry::registerProcessMetrics(mMetrics, "agent");
+  net::registerSocketMetrics(mMetrics, mSocket);
+}
+
+void Shell::onConfiguration(config::ConfigurationPtr aConfiguration)
+{
+  mConfigMetrics.update(*aConfiguration);
+  perform(mDecisions.apply(net::MainLoop::now(), std::move(aConfiguration)));
 }
 
 void Shell::run()
@@ -86,11 +101,11 @@
   }
   const auto& upstream = mDecisions.upstream();
   if (!upstream || aFrom != upstream->mAddress) {
-    countDrop("unknown_sender");
+    mAgentMetrics.noteDrop("unknown_sender");
     return;
   }
   if (!mMembership.mayForward()) {
-    countDrop("unconfirmed");
+    mAgentMetrics.noteDrop("unconfirmed");
     return;
   }
   perform(mDecisions.onUpstreamPacket(net::MainLoop::now(),
@@ -101,7 +116,7 @@
 {
   auto decoded = wire::decode(aDatagram);
   if (const auto* error = std::get_if<wire::DecodeError>(&decoded)) {
-    countDrop(wire::toString(*error));
+    mAgentMetrics.noteDrop(wire::toString(*error));
     return;
   }
   auto& frame = std::get<wire::Frame>(decoded);
@@ -113,7 +128,7 @@
   }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
     if (!mMembership.mayForward()) {
-      countDrop("unconfirmed");
+      mAgentMetrics.noteDrop("unconfirmed");
       return;
     }
     perform(mDecisions.onForward(net::MainLoop::now(), frame.mRevision, std::move(*forward)));
@@ -151,42 +166,25 @@
 
 void Shell::perform(const DropPacket& aAction)
 {
-  countDrop(toString(aAction.mReason));
+  mAgentMetrics.noteDrop(toString(aAction.mReason));
 }
 
 void Shell::perform(const telemetry::Event& aEvent)
 {
+  mAgentMetrics.note(aEvent);
+  if (aEvent.mKind == telemetry::EventKind::kFlowRefused) {
+    mRefusals.add(telemetry::wallClockMicroseconds(), aEvent);
+  }
   if (mSettings.mLogFlows || !isFlowEvent(aEvent)) {
     mLog.write(aEvent);
   }
 }
 
-void Shell::countDrop(std::string_view aReason)
-{
-  mMetrics
-    .counter("cornelcross_datagrams_dropped_total",
-             "Datagrams dropped, by reason",
-             { { "reason", std::string(aReason) } })
-    .Increment();
-}
-
 nlohmann::json Shell::status() const
 {
-  const auto& admission = mDecisions.admission();
-  const auto& upstream = mDecisions.upstream();
-  return { { "name", mSettings.mName },
-           { "role", "agent" },
-           { "revision", mDecisions.revision() },
-           { "upstream", upstream ? upstream->mName : "" },
-           { "state", upstream ? std::string(toString(upstream->mState)) : "unlisted" },
-           { "flows", mDecisions.flows().size() },
-           { "suspected_agents", mDecisions.peers().suspects() },
-           { "busy", admission.busy() },
-           { "held_flows", mDecisions.pending().flows() },
-           { "held_requests", mDecisions.pending().requests() },
-           { "cold", admission.isCold() },
-           { "limit", admission.limit() },
-           { "membership", mMembership.status() } };
+  nlohmann::json status = makeStatus(mSettings.mName, mDecisions, mRefusals);
+  status["membership"] = mMembership.status();
+  return status;
 }
 
 } // namespace cornelcross::agent
