--- a/tests/unit/test_document_merge.cpp
+++ b/tests/unit/test_document_merge.cpp
@@ -1,6 +1,7 @@
 #include "config/document_store.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 using namespace cornelcross;
@@ -14,16 +15,13 @@
   for (std::uint64_t revision = 1; revision <= 12; ++revision) {
     const std::string state = revision % 5 == 0 ? "?" : (revision % 2 == 0 ? "in" : "out");
     const std::string name = "zone-" + std::to_string(revision);
-    if (revision % 3 == 0) {
-      documents.push_back({ "workspaces",
-                            revision,
-                            R"({"workspaces": [{"name": ")" + name + R"(", "prefixes": []}]})" });
-    } else {
-      documents.push_back(
-        { "zones",
-          revision,
-          R"({"zones": [{"name": ")" + name + R"(", "state": ")" + state + R"("}]})" });
-    }
+    const bool isZones = revision % 3 != 0;
+    const nlohmann::json zones = { { "zones", { { { "name", name }, { "state", state } } } } };
+    const nlohmann::json workspaces = {
+      { "workspaces", { { { "name", name }, { "prefixes", nlohmann::json::array() } } } }
+    };
+    documents.push_back(
+      { isZones ? "zones" : "workspaces", revision, (isZones ? zones : workspaces).dump() });
   }
   return documents;
 }
@@ -35,8 +33,10 @@
 BOOST_AUTO_TEST_CASE(any_order_with_repetitions_gives_the_same_configuration)
 {
   const auto documents = racingDocuments();
+  const std::vector<config::Document> backwards(documents.rbegin(), documents.rend());
   config::DocumentStore expected;
   expected.merge(12, documents);
+  BOOST_REQUIRE(!expected.configuration()->zoneIsIn("zone-11"));
   const bool holds = rc::check([&] {
     const auto order = *rc::gen::container<std::vector<std::size_t>>(
       rc::gen::inRange<std::size_t>(0, documents.size()));
@@ -44,8 +44,8 @@
     for (const std::size_t index : order) {
       store.merge(documents[index].mRevision, { documents[index] });
     }
-    for (auto it = documents.rbegin(); it != documents.rend(); ++it) {
-      store.merge(it->mRevision, { *it });
+    for (const auto& document : backwards) {
+      store.merge(document.mRevision, { document });
     }
     RC_ASSERT(*store.configuration() == *expected.configuration());
   });
