--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -123,6 +123,15 @@
                          const FlowRecord& aRecord,
                          const std::string& aReason);
   Actions releaseFlows(base::Time aNow);
+  Actions onUnrecordedAnswer(base::Time aNow, const flow::TcpPacket& aPacket, flow::Bytes aBytes);
+  Actions onUpstreamReset(base::Time aNow,
+                          const FlowRecord& aRecord,
+                          const flow::TcpPacket& aPacket,
+                          flow::Bytes aBytes);
+  Actions onAnswer(base::Time aNow,
+                   FlowRecord& aRecord,
+                   const flow::TcpPacket& aPacket,
+                   flow::Bytes aBytes);
   void acceptSyn(base::Time aNow,
                  const flow::TcpPacket& aPacket,
                  FlowRecord& aRecord,
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -46,4 +46,10 @@
   auto operator<=>(const FlowRecord&) const = default;
 };
 
+/// @brief Notes a packet of the caller, after which its next sequence number is aNext.
+void noteCaller(base::Time aNow, FlowRecord& aRecord, std::uint32_t aNext);
+
+/// @brief Notes a packet of the upstream, after which its next sequence number is aNext.
+void noteUpstream(base::Time aNow, FlowRecord& aRecord, std::uint32_t aNext);
+
 } // namespace cornelcross::agent
