Compare sequence numbers, judge payload and rank new flows in one place each

Found on reading the whole change again: the circular comparison of sequence numbers stood five times; what waits for room judged new payload by a second form of the rule that admission counts by; the balancer worked out the first chunk beside chunkOf() and isLastChunk(); the preview of cornelcross-check built and sorted a ranking of the whole service for each sampled flow, beside the kept Ranking that balancers use. No behaviour changes.

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -25,14 +25,6 @@
          aRecord.mUpstreamNext - aAcknowledgement <= kAckWindow;
 }
 
-/// True if the packet carries data that the agent has not seen before.
-bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
-{
-  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
-  return aPacket.mPayloadLength > 0 &&
-         (!aRecord.mKnowsCallerNext || static_cast<std::int32_t>(end - aRecord.mCallerNext) > 0);
-}
-
 /// True if the segment belongs to the connection that the record's SYN opens.
 bool isOfAttempt(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
 {
--- a/src/agent/flow_record.cpp
+++ b/src/agent/flow_record.cpp
@@ -1,20 +1,19 @@
 #include "agent/flow_record.hpp"
 
-namespace cornelcross::agent {
+#include "flow/sequence.hpp"
 
-namespace {
+namespace cornelcross::agent {
 
-/// True if aNext lies behind aLast in the circular space of sequence numbers (RFC 9293, 3.4).
-bool isAhead(std::uint32_t aNext, std::uint32_t aLast)
+bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
 {
-  return static_cast<std::int32_t>(aNext - aLast) > 0;
+  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
+  return aPacket.mPayloadLength > 0 &&
+         (!aRecord.mKnowsCallerNext || flow::isAfter(end, aRecord.mCallerNext));
 }
 
-} // namespace
-
 void noteCaller(base::Time aNow, FlowRecord& aRecord, std::uint32_t aNext)
 {
-  if (!aRecord.mKnowsCallerNext || isAhead(aNext, aRecord.mCallerNext)) {
+  if (!aRecord.mKnowsCallerNext || flow::isAfter(aNext, aRecord.mCallerNext)) {
     aRecord.mCallerNext = aNext;
   }
   aRecord.mKnowsCallerNext = true;
@@ -24,7 +23,7 @@
 
 void noteUpstream(base::Time aNow, FlowRecord& aRecord, std::uint32_t aNext)
 {
-  if (!aRecord.mKnowsUpstreamNext || isAhead(aNext, aRecord.mUpstreamNext)) {
+  if (!aRecord.mKnowsUpstreamNext || flow::isAfter(aNext, aRecord.mUpstreamNext)) {
     aRecord.mUpstreamNext = aNext;
   }
   aRecord.mKnowsUpstreamNext = true;
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "flow/tcp_packet.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -46,6 +47,9 @@
   auto operator<=>(const FlowRecord&) const = default;
 };
 
+/// @brief True if a packet of the caller carries payload that the agent has not seen before.
+bool isNewPayload(const FlowRecord& aRecord, const flow::TcpPacket& aPacket);
+
 /// @brief Notes a packet of the caller, after which its next sequence number is aNext.
 void noteCaller(base::Time aNow, FlowRecord& aRecord, std::uint32_t aNext);
 
--- a/src/agent/held_work.cpp
+++ b/src/agent/held_work.cpp
@@ -1,5 +1,7 @@
 #include "agent/decisions.hpp"
 
+#include "flow/sequence.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -66,12 +68,10 @@
     return false;
   }
   if (aRecord.mIsHeld) {
-    return static_cast<std::int32_t>(aPacket.mSequence - aRecord.mHeldSequence) <= 0;
+    return !flow::isAfter(aPacket.mSequence, aRecord.mHeldSequence);
   }
-  const std::uint32_t end = aPacket.mSequence + aPacket.mPayloadLength;
-  const bool isRetransmission =
-    aRecord.mKnowsCallerNext && static_cast<std::int32_t>(end - aRecord.mCallerNext) <= 0;
-  return !isRetransmission && (mAdmission.requestRoom() == 0 || mPending.requests() > 0);
+  return isNewPayload(aRecord, aPacket) &&
+         (mAdmission.requestRoom() == 0 || mPending.requests() > 0);
 }
 
 Actions Decisions::holdRequest(base::Time aNow,
@@ -130,7 +130,7 @@
   record->mKnowsCallerNext = false;
   const std::uint32_t next = record->mCallerNext;
   Actions actions = deliver(aNow, *record, *packet, aForward);
-  if (static_cast<std::int32_t>(next - record->mCallerNext) > 0) {
+  if (flow::isAfter(next, record->mCallerNext)) {
     record->mCallerNext = next;
   }
   return actions;
--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -40,8 +40,8 @@
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
   wire::Forward forward;
-  forward.mCandidates = aRoutes.candidates(key.hash(), aPacket.opensFlow(), routing::kChunk);
-  forward.mIsComplete = aRoutes.receivers() <= routing::kChunk;
+  forward.mCandidates = routing::chunkOf(aRoutes, key, aPacket.opensFlow(), 0);
+  forward.mIsComplete = routing::isLastChunk(aRoutes, 0);
   preferOwner(key, aRoutes, forward.mCandidates);
   const std::size_t suspects = mPeers.deferSuspects(forward.mCandidates, 0);
   // A suspect that would have been asked stays in use, so that it goes on being probed.
--- a/src/tools/check/preview.cpp
+++ b/src/tools/check/preview.cpp
@@ -1,7 +1,7 @@
 #include "tools/check/preview.hpp"
 
 #include "flow/flow_key.hpp"
-#include "routing/rendezvous.hpp"
+#include "routing/ranking.hpp"
 
 #include <set>
 
@@ -98,18 +98,20 @@
   return { caller, aService.mAddress };
 }
 
+/// Ranks the upstreams of a service that take new flows.
+routing::Ranking rankEligible(const Configuration& aConfiguration, const Service& aService)
+{
+  return { aService, [&](const auto& aUpstream) { return aConfiguration.mayOpen(aUpstream); } };
+}
+
 /// Name of the upstream that a new flow goes to; empty if none is eligible.
-std::string firstEligible(const Configuration& aConfiguration,
+std::string firstEligible(const routing::Ranking& aRanking,
                           const Service& aService,
                           const flow::FlowKey& aFlow)
 {
-  for (const std::size_t index :
-       routing::rank(aService, aFlow.hash(), aService.mUpstreams.size())) {
-    if (aConfiguration.mayOpen(aService.mUpstreams[index])) {
-      return aService.mUpstreams[index].mName;
-    }
-  }
-  return {};
+  std::vector<std::size_t> order;
+  aRanking.rank(aFlow.hash(), 1, order);
+  return order.empty() ? std::string() : aService.mUpstreams[order.front()].mName;
 }
 
 ServiceChange compareShares(const Configuration& aBefore,
@@ -120,10 +122,12 @@
 {
   ServiceChange change{ aOld.mName, 0, {}, {} };
   const double unit = 1.0 / aSample;
+  const routing::Ranking oldRanking = rankEligible(aBefore, aOld);
+  const routing::Ranking newRanking = rankEligible(aAfter, aNew);
   for (std::uint32_t i = 0; i < aSample; ++i) {
     const flow::FlowKey key = sampleFlow(aNew, i);
-    const std::string before = firstEligible(aBefore, aOld, key);
-    const std::string after = firstEligible(aAfter, aNew, key);
+    const std::string before = firstEligible(oldRanking, aOld, key);
+    const std::string after = firstEligible(newRanking, aNew, key);
     change.mSharesBefore[before] += unit;
     change.mSharesAfter[after] += unit;
     change.mMovedShare += before == after ? 0 : unit;
