--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t kRestartResets = 2;
 constexpr base::Duration kResetWindow = std::chrono::seconds(1);
 
+/// Span over which a stated rate of new flows is counted.
+constexpr base::Duration kRateWindow = std::chrono::seconds(1);
+
 /// Part of a new sample in the mean time from an admission to the first request.
 constexpr double kExpectationWeight = 0.05;
 
@@ -30,21 +33,49 @@
 void AdmissionControl::configure(base::Time aNow,
                                  std::uint32_t aSlots,
                                  bool aIsEligible,
-                                 bool aIsJoining)
+                                 bool aIsJoining,
+                                 config::ColdStart aColdStart)
 {
+  mColdStart = aColdStart;
   mLimit.configure(aSlots, aIsJoining);
   if ((aIsEligible && !mIsEligible) || (aIsJoining && !mIsJoining)) {
-    mLimit.restart(aNow);
+    restart(aNow);
   }
   mIsEligible = aIsEligible;
+  mWasEligible = mWasEligible || aIsEligible;
   mIsJoining = aIsJoining;
 }
 
+// At its own start an agent can't tell a cold upstream from a warm one unless that is joining; a
+// stated length counts for what the agent saw happen.
+void AdmissionControl::restart(base::Time aNow)
+{
+  if (mWasEligible && mColdStart.mMilliseconds > 0) {
+    mLimit.restart(aNow, std::chrono::milliseconds(mColdStart.mMilliseconds));
+  } else {
+    mLimit.restart(aNow);
+  }
+  mLimit.advance(aNow);
+}
+
+bool AdmissionControl::mayOpenCold(base::Time aNow) const
+{
+  if (!isCold() || mColdStart.mFlowsPerSecond == 0) {
+    return true;
+  }
+  const auto recent = std::count_if(mOpenings.begin(), mOpenings.end(), [&](base::Time aOpened) {
+    return aNow - aOpened < kRateWindow;
+  });
+  return recent < static_cast<std::ptrdiff_t>(mColdStart.mFlowsPerSecond);
+}
+
 Offer AdmissionControl::offer(base::Time aNow, bool aIsEligible) const
 {
   const double share = mService.share(aNow, meanLoad(aNow), limit());
   const bool isBelow = load() + 1 <= share;
-  return { aIsEligible, isBelow, static_cast<std::uint16_t>(std::min(flowRoom(), 0xFFFFU)) };
+  return { aIsEligible && mayOpenCold(aNow),
+           isBelow,
+           static_cast<std::uint16_t>(std::min(flowRoom(), 0xFFFFU)) };
 }
 
 void AdmissionControl::flowOpened(base::Time aNow)
@@ -52,6 +83,12 @@
   advance(aNow);
   ++mFlows;
   ++mExpected;
+  if (isCold() && mColdStart.mFlowsPerSecond > 0) {
+    mOpenings.push_back(aNow);
+    while (aNow - mOpenings.front() >= kRateWindow) {
+      mOpenings.pop_front();
+    }
+  }
 }
 
 // The flow is older than the agent, and so is the upstream: the agent alone has restarted.
@@ -85,6 +122,9 @@
 std::uint32_t AdmissionControl::flowLimit() const
 {
   const auto usual = static_cast<double>(mLimit.usualLatency().count());
+  if (!mSettings.mLimit.mIsLearned) {
+    return limit() * (1 + (isCold() ? 0 : mSettings.mQueuePerSlot));
+  }
   if (isCold() || usual <= 0) {
     return limit();
   }
@@ -158,6 +198,7 @@
 
 void AdmissionControl::advance(base::Time aNow)
 {
+  mLimit.advance(aNow);
   mMeanLoad = meanLoad(aNow);
   mUpdated = aNow;
 }
--- a/src/admission/admission_control.hpp
+++ b/src/admission/admission_control.hpp
@@ -4,8 +4,10 @@
 #include "admission/concurrency_limit.hpp"
 #include "admission/service_load.hpp"
 #include "admission/walk.hpp"
+#include "config/cold_start.hpp"
 
 #include <cstdint>
+#include <deque>
 
 /// @brief Limits that keep an upstream from more load than it bears.
 namespace cornelcross::admission {
@@ -19,10 +21,15 @@
 
   /// @brief Adopts what the configuration declares. An upstream that becomes eligible for new flows
   /// or is joining is cold.
-  void configure(base::Time aNow, std::uint32_t aSlots, bool aIsEligible, bool aIsJoining);
+  /// @param aColdStart what operators state of the service's cold starts
+  void configure(base::Time aNow,
+                 std::uint32_t aSlots,
+                 bool aIsEligible,
+                 bool aIsJoining,
+                 config::ColdStart aColdStart = {});
 
   /// @brief The upstream has started, as far as is known.
-  void restart(base::Time aNow) { mLimit.restart(aNow); }
+  void restart(base::Time aNow);
 
   /// @brief What the upstream could do with a new flow. @param aIsEligible the configuration lets
   /// it
@@ -91,10 +98,14 @@
   void advance(base::Time aNow);
   std::uint32_t flowLimit() const;
   double meanLoad(base::Time aNow) const;
+  bool mayOpenCold(base::Time aNow) const;
 
   AdmissionSettings mSettings;
   ConcurrencyLimit mLimit;
   ServiceLoad mService;
+  config::ColdStart mColdStart;
+  std::deque<base::Time> mOpenings; ///< of flows during a cold start, within a second
+  bool mWasEligible = false;        ///< at any time before
   bool mIsEligible = false;
   bool mIsJoining = false;
   std::uint32_t mFlows = 0;
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -34,15 +34,28 @@
 {
   mIsJoining = aIsJoining;
   mSlots = std::max(aSlots, std::uint32_t{ 1 });
-  mValue = std::min(mValue, mSlots);
+  mValue = mSettings.mIsLearned || mIsCold ? std::min(mValue, mSlots) : mSlots;
 }
 
 void ConcurrencyLimit::restart(base::Time aNow)
+{
+  restart(aNow, mSettings.mColdStart);
+}
+
+void ConcurrencyLimit::advance(base::Time aNow)
+{
+  if (!mSettings.mIsLearned && mIsCold && !mIsJoining && aNow >= mColdUntil) {
+    mIsCold = false;
+    mValue = mSlots;
+  }
+}
+
+void ConcurrencyLimit::restart(base::Time aNow, base::Duration aColdStart)
 {
   mIsCold = true;
   mHasStart = true;
   mValue = base::mechanisms().mLimitColdStart ? std::min(mSettings.mColdLimit, mSlots) : mSlots;
-  mColdUntil = aNow + mSettings.mColdStart;
+  mColdUntil = aNow + aColdStart;
   mWindowEnd = aNow + mSettings.mWindow;
   mSamples = 0;
   mSum = 0;
@@ -78,7 +91,9 @@
   mUsual =
     isFirst ? mean : mUsual + (mean - mUsual) * (mean < mUsual ? kFasterWeight : kSlowerWeight);
   mIsCold = mIsCold && (mIsJoining || aNow < mColdUntil);
-  if (ratio > kTooSlow) {
+  if (!mSettings.mIsLearned) {
+    mValue = mIsCold ? mValue : mSlots;
+  } else if (ratio > kTooSlow) {
     fall(ratio);
   } else if (!mIsCold && ratio < kSlow && mPeak >= mValue) {
     grow();
--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -14,6 +14,7 @@
   base::Duration mColdStart = std::chrono::seconds(30);    ///< length of a cold start
   base::Duration mWindow = std::chrono::milliseconds(250); ///< shortest time between two changes
   std::uint32_t mMinSamples = 16;                          ///< answers that a change needs at least
+  bool mIsLearned = true; ///< from answer times; otherwise the declared slots count
 
   auto operator<=>(const LimitSettings&) const = default;
 };
@@ -32,6 +33,12 @@
   /// @brief The upstream has started again, or is about to.
   void restart(base::Time aNow);
 
+  /// @brief The upstream has started again, and operators state how long it stays cold.
+  void restart(base::Time aNow, base::Duration aColdStart);
+
+  /// @brief Ends a cold start whose time is over, if nothing is learned from answers.
+  void advance(base::Time aNow);
+
   /// @brief The upstream turned out to have been running before; growth may begin.
   void endColdStart() { mIsCold = false; }
 
--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -39,7 +39,7 @@
       actions.emplace_back(SendMessage{ agent, std::move(aForward) });
       return actions;
     }
-    askSuspects(aNow, next, aForward, actions);
+    askSuspects(aNow, aPacket, next, aForward, actions);
     if (!takeNextChunk(aPacket, aForward)) {
       break;
     }
@@ -60,17 +60,17 @@
 }
 
 void Chain::askSuspects(base::Time aNow,
+                        const flow::TcpPacket& aPacket,
                         std::size_t aFirst,
                         wire::Forward& aForward,
                         Actions& aActions) const
 {
-  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
   for (std::size_t i = aFirst; i < aForward.mCandidates.size(); ++i) {
     const flow::Endpoint suspect = aForward.mCandidates[i];
     mPeers.noteUse(aNow, suspect);
     // Its silence would swallow the packet for those behind it: it gets a copy and the chain goes
     // on. Not so with a SYN, which two upstreams would answer.
-    if (mPeers.isDead(aNow, suspect) || packet->opensFlow()) {
+    if (mPeers.isDead(aNow, suspect) || aPacket.opensFlow()) {
       continue;
     }
     aForward.mIsUnanimous = false;
@@ -121,11 +121,11 @@
   return actions;
 }
 
-Actions Chain::end(const flow::TcpPacket& aPacket, const wire::Forward& aForward)
+Actions Chain::end(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const
 {
   if (aPacket.opensFlow()) {
     // True under any configuration: no upstream was given this SYN.
-    return { SendToCaller{ flow::makeReset(aPacket) },
+    return { SendToCaller{ mFormat.mMakeReset(aPacket) },
              telemetry::Event{
                telemetry::EventKind::kFlowRefused,
                { { "flow", aPacket.keyFromCaller().toString() },
@@ -143,7 +143,7 @@
   if (aPacket.has(flow::kRst) || !aForward.mIsUnanimous || !aForward.mIsComplete) {
     return { DropPacket{ DropReason::kNoOwner } };
   }
-  return { SendToCaller{ flow::makeReset(aPacket) } };
+  return { SendToCaller{ mFormat.mMakeReset(aPacket) } };
 }
 
 } // namespace cornelcross::agent
--- a/src/agent/chain.hpp
+++ b/src/agent/chain.hpp
@@ -2,6 +2,7 @@
 
 #include "agent/actions.hpp"
 #include "config/configuration.hpp"
+#include "flow/packet_format.hpp"
 #include "membership/failure_detector.hpp"
 #include "routing/service_routes.hpp"
 
@@ -13,8 +14,12 @@
 class Chain
 {
 public:
-  /// @param aPeers which agents answer; outlives this object
-  explicit Chain(membership::FailureDetector& aPeers) : mPeers(aPeers) {}
+  /// @param aPeers  which agents answer; outlives this object
+  /// @param aFormat layout of packets; outlives this object
+  Chain(membership::FailureDetector& aPeers, const flow::PacketFormat& aFormat)
+    : mPeers(aPeers), mFormat(aFormat)
+  {
+  }
 
   /// @brief Adopts the configuration and the service in it, which must be part of it.
   void configure(config::ConfigurationPtr aConfiguration, const config::Service* aService);
@@ -32,17 +37,19 @@
   bool hasNext(const wire::Forward& aForward) const;
 
   /// @brief Ends the chain: a SYN is refused; see pass().
-  static Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward);
+  Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
 
 private:
   bool takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
   void askSuspects(base::Time aNow,
+                   const flow::TcpPacket& aPacket,
                    std::size_t aFirst,
                    wire::Forward& aForward,
                    Actions& aActions) const;
   static void askUnsure(const wire::Forward& aForward, wire::Inquiry aInquiry, Actions& aActions);
 
   membership::FailureDetector& mPeers;
+  const flow::PacketFormat& mFormat;
   config::ConfigurationPtr mConfiguration;
   std::optional<routing::ServiceRoutes> mRoutes;
 };
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -15,6 +15,10 @@
 /// 1024.
 constexpr std::uint32_t kAckWindow = 4 * 1024 * 1024;
 
+/// Packets handed to the upstream whose way here is kept, should it return them. It does so within
+/// a millisecond, in which far fewer arrive.
+constexpr std::size_t kReturnable = 1024;
+
 /// True if the acknowledgement is for data that this upstream has sent. Of an adopted flow the
 /// agent may have seen an old segment only, sent again, of which the caller has long had what
 /// follows.
@@ -33,12 +37,14 @@
 
 } // namespace
 
-Decisions::Decisions(const AgentSettings& aSettings)
+Decisions::Decisions(const AgentSettings& aSettings, flow::PacketFormat aFormat)
   : mSettings(aSettings)
+  , mFormat(std::move(aFormat))
   , mConfiguration(std::make_shared<const config::Configuration>())
   , mAdmission(aSettings.mAdmission)
   , mPending(aSettings.mAdmission.mMaxHeld, aSettings.mAdmission.mMaxHeld)
-  , mChain(mPeers)
+  , mChain(mPeers, mFormat)
+  , mReturnable(kReturnable)
   , mKeepAlive(aSettings.mKeepAlive)
 {
 }
@@ -63,11 +69,13 @@
       if (upstream.mAgent == mSettings.mSelf) {
         mUpstream = upstream;
         mServiceAddress = service.mAddress;
+        mServiceName = name;
         mService = config::upstreamIdentity(name, "");
         mAdmission.configure(aNow,
                              upstream.mSlots,
                              mConfiguration->mayOpen(upstream),
-                             upstream.mState == config::UpstreamState::kJoining);
+                             upstream.mState == config::UpstreamState::kJoining,
+                             service.mColdStart);
         collectReporters(service);
         mChain.configure(mConfiguration, &service);
       }
@@ -75,9 +83,10 @@
   }
   Actions actions;
   // Another VM, or the same one for another service, has none of the flows that are on record.
-  const bool isAnother = before && mUpstream &&
-                         (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
-                          addressBefore != mServiceAddress);
+  const bool isAnother =
+    before && mUpstream &&
+    (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
+     before->mIncarnation != mUpstream->mIncarnation || addressBefore != mServiceAddress);
   if (isAnother) {
     actions = releaseFlows(aNow);
   }
@@ -131,19 +140,23 @@
 
 Actions Decisions::onForward(base::Time aNow, std::uint64_t aRevision, wire::Forward aForward)
 {
-  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  const auto packet = mFormat.mParse(aForward.mPacket);
   if (!packet) {
     return { DropPacket{ DropReason::kMalformed } };
   }
   if (!mUpstream) {
-    return { DropPacket{ DropReason::kNotConfigured } };
+    return passUnserved(aNow, *packet, std::move(aForward), DropReason::kNotConfigured);
   }
-  const bool isForeign = packet->mDestination != mServiceAddress || aForward.mService != mService;
+  const bool isServed = mConfiguration->serves(mServiceName, packet->mDestination);
+  const bool isForeign = aForward.mService != 0 && aForward.mService != mService;
   if (isForeign && base::mechanisms().mCheckService) {
+    return passUnserved(aNow, *packet, std::move(aForward), DropReason::kForeignService);
+  }
+  if (!isServed && base::mechanisms().mCheckService) {
     return { DropPacket{ DropReason::kForeignService } };
   }
   if (!mConfiguration->mayReceive(*mUpstream)) {
-    return { DropPacket{ DropReason::kZoneOut } };
+    return passUnserved(aNow, *packet, std::move(aForward), DropReason::kZoneOut);
   }
   // A denial counts only under the configuration that the sender used to list the candidates.
   aForward.mIsUnanimous = aForward.mIsUnanimous && aRevision == revision();
@@ -155,9 +168,34 @@
                              : onSegment(aNow, *packet, std::move(aForward));
 }
 
+// The sender knew another configuration. Others behind this agent may still serve the flow; it has
+// no say in whether somebody owns it.
+Actions Decisions::passUnserved(base::Time aNow,
+                                const flow::TcpPacket& aPacket,
+                                wire::Forward aForward,
+                                DropReason aReason)
+{
+  const bool isInLine = aForward.mInquiry == wire::Inquiry::kNone && mChain.hasNext(aForward);
+  if (!isInLine || mFlows.find(aPacket.keyFromCaller()) != nullptr) {
+    return { DropPacket{ aReason } };
+  }
+  aForward.mIsUnanimous = false;
+  return mChain.pass(aNow, aPacket, std::move(aForward));
+}
+
+void Decisions::editSyn(flow::Bytes& aBytes, const flow::TcpPacket& aPacket) const
+{
+  if (mFormat.mStripSynPayload) {
+    mFormat.mStripSynPayload(aBytes, aPacket);
+  }
+  if (mFormat.mClampMss) {
+    mFormat.mClampMss(aBytes, aPacket, mSettings.mMaxSegment);
+  }
+}
+
 Actions Decisions::passWhileStarting(base::Time aNow, wire::Forward aForward)
 {
-  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  const auto packet = mFormat.mParse(aForward.mPacket);
   if (!packet) {
     return { DropPacket{ DropReason::kMalformed } };
   }
@@ -196,7 +234,9 @@
     return mChain.pass(aNow, aPacket, std::move(aForward));
   }
   const bool isUnanswered = record->mState == FlowState::kHalfOpen && !record->mIsAnswered;
-  if (isUnanswered && mUpstreamWatch.isDown(aNow)) {
+  // An upstream that returns what it doesn't take has answered long before a retransmission.
+  const bool isSilent = mFormat.returnsPackets() && mChain.hasNext(aForward);
+  if (isUnanswered && (isSilent || mUpstreamWatch.isDown(aNow))) {
     // The upstream never saw it; what it may still answer finds no record and goes no further.
     Actions actions{ close(aNow, aPacket.keyFromCaller(), *record, "upstream_silent") };
     mFlows.erase(aPacket.keyFromCaller());
@@ -209,9 +249,9 @@
   }
   record->mPendingInitial = isReuse ? aPacket.mSequence : 0;
   record->mLastSeen = aNow;
-  flow::stripSynPayload(aForward.mPacket, aPacket);
-  flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
-  return { DeliverToUpstream{ mUpstream->mAddress, std::move(aForward.mPacket) } };
+  editSyn(aForward.mPacket, aPacket);
+  flow::Bytes bytes = std::move(aForward.mPacket);
+  return deliverReturnable(std::move(bytes), aForward);
 }
 
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
@@ -230,6 +270,9 @@
     return passOpening(aNow, aPacket, std::move(aForward), *pass);
   }
   if (std::holds_alternative<admission::Hold>(step)) {
+    if (mSettings.mAdmission.mHold == base::Duration::zero()) {
+      return mChain.end(aPacket, aForward);
+    }
     return hold(aNow, aPacket, std::move(aForward));
   }
   if (std::holds_alternative<admission::Refuse>(step)) {
@@ -253,10 +296,9 @@
   mUpstreamWatch.noteSyn(aNow);
   mInquiry.erase(aPacket.keyFromCaller());
   mAdmission.flowOpened(aNow);
-  flow::stripSynPayload(aForward.mPacket, aPacket);
-  flow::clampMss(aForward.mPacket, aPacket, mSettings.mMaxSegment);
-  Actions actions;
-  actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, std::move(aForward.mPacket) });
+  editSyn(aForward.mPacket, aPacket);
+  flow::Bytes bytes = std::move(aForward.mPacket);
+  Actions actions = deliverReturnable(std::move(bytes), aForward);
   if (aForward.mPosition > 0 && aForward.mIngress.mPort != 0) {
     actions.emplace_back(SendMessage{
       aForward.mIngress, wire::OwnerNotice{ aPacket.keyFromCaller(), mSettings.mSelf } });
@@ -314,6 +356,9 @@
                                 const flow::TcpPacket& aPacket,
                                 wire::Forward aForward)
 {
+  if (mFormat.returnsPackets()) {
+    return askUpstream(aNow, aPacket, std::move(aForward));
+  }
   if (aForward.mInquiry != wire::Inquiry::kNone) {
     return onInquiry(aNow, aPacket, std::move(aForward));
   }
@@ -341,7 +386,7 @@
     // An acceptable bare ACK is not answered; a segment before the window is (RFC 9293, section
     // 3.10.7.4), so that a flow of which only the caller is heard becomes known at once.
     flow::Bytes keepAlive = aForward.mPacket;
-    flow::setSequence(keepAlive, aPacket, aPacket.mSequence - 1);
+    mFormat.mSetSequence(keepAlive, aPacket, aPacket.mSequence - 1);
     actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, std::move(keepAlive) });
   }
   actions.insert(actions.begin(),
@@ -400,15 +445,19 @@
                                    const flow::FlowKey& aFlow,
                                    const FlowRecord& aRecord)
 {
+  const telemetry::Event closed = close(aNow, aFlow, aRecord, "owned_elsewhere");
+  if (!mFormat.mMakeControl) {
+    mFlows.erase(aFlow);
+    return { closed };
+  }
   // RST in the caller's name, at the sequence number that the upstream expects next.
   flow::TcpPacket answer;
   answer.mSource = aFlow.mService;
   answer.mDestination = aFlow.mCaller;
   answer.mFlags = flow::kAck;
   answer.mAcknowledgement = aRecord.mCallerInitial + 1;
-  const telemetry::Event closed = close(aNow, aFlow, aRecord, "owned_elsewhere");
   mFlows.erase(aFlow);
-  return { DeliverToUpstream{ mUpstream->mAddress, flow::makeReset(answer) }, closed };
+  return { DeliverToUpstream{ mUpstream->mAddress, mFormat.mMakeReset(answer) }, closed };
 }
 
 } // namespace cornelcross::agent
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -7,9 +7,11 @@
 #include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
 #include "agent/keep_alive.hpp"
+#include "agent/returnable_packets.hpp"
 #include "agent/upstream_inquiry.hpp"
 #include "agent/upstream_watch.hpp"
 #include "config/configuration.hpp"
+#include "flow/packet_format.hpp"
 #include "flow/run_verdict.hpp"
 
 #include <optional>
@@ -23,7 +25,8 @@
 class Decisions
 {
 public:
-  explicit Decisions(const AgentSettings& aSettings);
+  explicit Decisions(const AgentSettings& aSettings,
+                     flow::PacketFormat aFormat = flow::ipv4Format());
   Decisions(const Decisions&) = delete;
   Decisions& operator=(const Decisions&) = delete;
 
@@ -40,6 +43,10 @@
   /// @brief An IP packet that the upstream sent to a caller.
   Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
 
+  /// @brief A packet that the upstream sent before this process may forward: an answer goes on to
+  /// its caller, whatever the configuration.
+  Actions relayWhileStarting(flow::Bytes aPacket) const;
+
   /// @brief Admits no further flow: the process is about to end.
   void stopAdmitting() { mIsStopping = true; }
 
@@ -88,6 +95,14 @@
   Actions onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onUnrecorded(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions passUnserved(base::Time aNow,
+                       const flow::TcpPacket& aPacket,
+                       wire::Forward aForward,
+                       DropReason aReason);
+  Actions deliverReturnable(flow::Bytes aPacket, const wire::Forward& aForward);
+  Actions askUpstream(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions onReturned(base::Time aNow, const flow::TcpPacket& aPacket, flow::Bytes aBytes);
+  void editSyn(flow::Bytes& aBytes, const flow::TcpPacket& aPacket) const;
   Actions onInquiry(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   bool recordsAreComplete(base::Time aNow) const;
   Actions open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
@@ -141,10 +156,12 @@
   bool isExpired(base::Time aNow, const FlowRecord& aRecord) const;
 
   AgentSettings mSettings;
+  flow::PacketFormat mFormat;
   config::ConfigurationPtr mConfiguration;
   std::optional<config::Upstream> mUpstream;
   flow::Endpoint mServiceAddress;
   std::uint64_t mService = 0;
+  std::string mServiceName;
   admission::AdmissionControl mAdmission;
   admission::PendingWork<wire::Forward> mPending;
   std::unordered_set<flow::FlowKey, flow::FlowKeyHash> mHeldFlows;
@@ -155,6 +172,7 @@
   membership::FailureDetector mPeers;
   Chain mChain;
   UpstreamInquiry mInquiry;
+  ReturnablePackets mReturnable;
   UpstreamWatch mUpstreamWatch;
   KeepAlive mKeepAlive;
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
--- a/src/agent/flow_expiry.cpp
+++ b/src/agent/flow_expiry.cpp
@@ -29,7 +29,7 @@
 
 void Decisions::keepAlive(base::Time aNow, Actions& aActions)
 {
-  if (!mUpstream || !mConfiguration->mayReceive(*mUpstream)) {
+  if (!mFormat.mMakeControl || !mUpstream || !mConfiguration->mayReceive(*mUpstream)) {
     return;
   }
   mKeepAlive.beginRound();
--- a/src/agent/held_work.cpp
+++ b/src/agent/held_work.cpp
@@ -54,17 +54,18 @@
 
 Actions Decisions::refuse(const wire::Forward& aForward)
 {
-  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  const auto packet = mFormat.mParse(aForward.mPacket);
   mHeldFlows.erase(packet->keyFromCaller());
-  return Chain::end(*packet, aForward);
+  return mChain.end(*packet, aForward);
 }
 
 // Only the first packet of a request waits. What follows goes through: the upstream's TCP keeps it
 // until the first packet fills the hole (RFC 9293, section 3.10.7.4).
 bool Decisions::mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const
 {
-  if (aPacket.mPayloadLength == 0 || aRecord.mState == FlowState::kClosing || aRecord.mIsBusy ||
-      aRecord.mIsOneWay || aPacket.has(flow::kRst)) {
+  if (!mSettings.mAdmission.mHoldsRequests || aPacket.mPayloadLength == 0 ||
+      aRecord.mState == FlowState::kClosing || aRecord.mIsBusy || aRecord.mIsOneWay ||
+      aPacket.has(flow::kRst)) {
     return false;
   }
   if (aRecord.mIsHeld) {
@@ -90,7 +91,7 @@
   const auto evicted = mPending.addRequest(aNow, workspace, std::move(aForward));
   if (evicted) {
     // The caller's TCP retransmits it.
-    const auto packet = flow::TcpPacket::parse(evicted->mPacket);
+    const auto packet = mFormat.mParse(evicted->mPacket);
     FlowRecord* record = mFlows.find(packet->keyFromCaller());
     if (record != nullptr) {
       record->mIsHeld = false;
@@ -118,7 +119,7 @@
 
 Actions Decisions::releaseRequest(base::Time aNow, const wire::Forward& aForward)
 {
-  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  const auto packet = mFormat.mParse(aForward.mPacket);
   FlowRecord* record = mFlows.find(packet->keyFromCaller());
   const bool waits =
     record != nullptr && record->mIsHeld && record->mHeldSequence == packet->mSequence;
@@ -138,9 +139,10 @@
 
 Actions Decisions::releaseFlow(base::Time aNow, wire::Forward aForward)
 {
-  const auto packet = flow::TcpPacket::parse(aForward.mPacket);
+  const auto packet = mFormat.mParse(aForward.mPacket);
   // The agent may have been given the upstream of another service while the flow waited.
-  const bool isForeign = packet->mDestination != mServiceAddress || aForward.mService != mService;
+  const bool isForeign = !mConfiguration->serves(mServiceName, packet->mDestination) ||
+                         (aForward.mService != 0 && aForward.mService != mService);
   if (isForeign || !mConfiguration->mayOpen(*mUpstream)) {
     return refuse(aForward);
   }
--- /dev/null
+++ b/src/agent/returned_packets.cpp
@@ -0,0 +1,81 @@
+#include "agent/decisions.hpp"
+
+#include <iterator>
+#include <utility>
+
+/// The part of the decisions that handles packets which the upstream returns.
+namespace cornelcross::agent {
+
+Actions Decisions::deliverReturnable(flow::Bytes aPacket, const wire::Forward& aForward)
+{
+  if (mFormat.returnsPackets()) {
+    mFormat.mSetTag(aPacket, mReturnable.remember(aForward));
+  }
+  return { DeliverToUpstream{ mUpstream->mAddress, std::move(aPacket) } };
+}
+
+// The upstream itself tells whether it holds the flow, and hands the packet back if it doesn't: the
+// chain can wait for it here without losing the packet.
+Actions Decisions::askUpstream(base::Time aNow,
+                               const flow::TcpPacket& aPacket,
+                               wire::Forward aForward)
+{
+  const flow::FlowKey key = aPacket.keyFromCaller();
+  const bool isKnown = recordsAreComplete(aNow) || mInquiry.isDenied(aNow, key);
+  if (isKnown || !mInquiry.ask(aNow, key, false)) {
+    aForward.mIsUnanimous = aForward.mIsUnanimous && isKnown;
+    return mChain.pass(aNow, aPacket, std::move(aForward));
+  }
+  // Several agents that ask at once don't know of each other's verdict.
+  aForward.mIsUnanimous = aForward.mIsUnanimous && aForward.mInquiry != wire::Inquiry::kAsk;
+  flow::Bytes packet = std::move(aForward.mPacket);
+  return deliverReturnable(std::move(packet), aForward);
+}
+
+Actions Decisions::onReturned(base::Time aNow, const flow::TcpPacket& aPacket, flow::Bytes aBytes)
+{
+  mFormat.mClearReturn(aBytes);
+  const flow::FlowKey key = aPacket.keyFromCaller();
+  FlowRecord* record = mFlows.find(key);
+  Actions actions;
+  if (record != nullptr && record->mState != FlowState::kHalfOpen) {
+    // The upstream had this flow and lost it: it has started again.
+    mAdmission.upstreamReset(aNow);
+    actions.emplace_back(close(aNow, key, *record, "upstream_lost"));
+    mFlows.erase(key);
+    if (!aPacket.has(flow::kRst)) {
+      actions.emplace_back(SendToCaller{ mFormat.mMakeReset(aPacket) });
+    }
+    return actions;
+  }
+  const bool isRefused = record != nullptr && aPacket.opensFlow() && !record->mIsAnswered;
+  if (isRefused) {
+    mUpstreamWatch.noteRefused(aNow);
+    actions.emplace_back(close(aNow, key, *record, "upstream_refused"));
+    mFlows.erase(key);
+  }
+  if (!aPacket.opensFlow()) {
+    mInquiry.deny(aNow, key);
+  }
+  std::optional<wire::Forward> forward = mReturnable.take(aPacket.mTag);
+  if (!forward) {
+    actions.emplace_back(DropPacket{ DropReason::kNotOwned });
+    return actions;
+  }
+  forward->mPacket = std::move(aBytes);
+  forward->mWalk = {};
+  Actions passed = mChain.pass(aNow, aPacket, std::move(*forward));
+  std::move(passed.begin(), passed.end(), std::back_inserter(actions));
+  return actions;
+}
+
+Actions Decisions::relayWhileStarting(flow::Bytes aPacket) const
+{
+  const auto packet = mFormat.mParse(aPacket);
+  if (!packet || packet->mIsReturned || packet->has(flow::kSyn)) {
+    return { DropPacket{ packet ? DropReason::kNoRecord : DropReason::kMalformed } };
+  }
+  return { SendToCaller{ std::move(aPacket) } };
+}
+
+} // namespace cornelcross::agent
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -24,12 +24,13 @@
 
 } // namespace
 
-Shell::Shell(const ShellSettings& aSettings)
+Shell::Shell(const ShellSettings& aSettings, net::Surroundings aSurroundings)
   : mSettings(aSettings)
+  , mSurroundings(std::move(aSurroundings))
   , mLog(aSettings.mName)
-  , mDecisions(aSettings.mAgent)
+  , mDecisions(aSettings.mAgent, mSurroundings.mFormat)
   , mStop(std::chrono::seconds(aSettings.mDrainSeconds))
-  , mSocket(aSettings.mListen)
+  , mSocket(aSettings.mListen, mSurroundings.maxDatagram())
   , mAgentMetrics(mMetrics, mDecisions)
   , mConfigMetrics(mMetrics)
   , mRefusals(kRefusalsKept)
@@ -43,13 +44,19 @@
       },
       [this](config::ConfigurationPtr aConfiguration) {
         onConfiguration(std::move(aConfiguration));
-      })
+      },
+      mSurroundings.mSource)
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return health(); })
+      [this] { return health(); },
+      mSurroundings.mHealthPage)
 {
+  if (aSettings.mUpstreamListen) {
+    mUpstreamSocket =
+      std::make_unique<net::UdpSocket>(*aSettings.mUpstreamListen, mSurroundings.maxDatagram());
+  }
   telemetry::registerProcessMetrics(mMetrics, "agent");
   net::registerSocketMetrics(mMetrics, mSocket);
 }
@@ -65,17 +72,21 @@
   mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
     onDatagram(aDatagram, aFrom);
   });
+  if (mUpstreamSocket) {
+    mUpstreamSocket->onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
+      onUpstreamDatagram(aDatagram, aFrom);
+    });
+    mUpstreamSocket->onBatchEnd([this] { mSocket.flush(); });
+  }
   mLoop.onTerminate([this] { onTerminate(); });
   mLoop.every(kTick, [this] {
     perform(mDecisions.onTick(net::MainLoop::now()));
     mSocket.flush();
   });
-  mLoop.every(kHoldTick, [this] {
-    if (mMembership.mayForward()) {
-      perform(mDecisions.onHoldTimer(net::MainLoop::now()));
-      mSocket.flush();
-    }
-  });
+  const auto& admission = mSettings.mAgent.mAdmission;
+  if (admission.mHoldsRequests || admission.mHold > base::Duration::zero()) {
+    mLoop.every(kHoldTick, [this] { onHoldTimer(); });
+  }
   mLoop.every(kReportInterval, [this] {
     perform(mDecisions.onReportTimer(net::MainLoop::now()));
     mSocket.flush();
@@ -89,6 +100,14 @@
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
 }
 
+void Shell::onHoldTimer()
+{
+  if (mMembership.mayForward()) {
+    perform(mDecisions.onHoldTimer(net::MainLoop::now()));
+    mSocket.flush();
+  }
+}
+
 void Shell::onTerminate()
 {
   // A second signal ends the process at once.
@@ -126,7 +145,7 @@
     return;
   }
   const auto& upstream = mDecisions.upstream();
-  if (!upstream || aFrom != upstream->mAddress) {
+  if (mUpstreamSocket || !upstream || aFrom != upstream->mAddress) {
     mAgentMetrics.noteDrop("unknown_sender");
     return;
   }
@@ -138,6 +157,15 @@
                                       flow::Bytes(aDatagram.begin(), aDatagram.end())));
 }
 
+// Only the upstream beside this agent reaches the socket's address.
+void Shell::onUpstreamDatagram(std::span<const std::byte> aDatagram, flow::Endpoint)
+{
+  flow::Bytes bytes(aDatagram.begin(), aDatagram.end());
+  const bool isKnown = mMembership.mayForward() && mDecisions.upstream();
+  perform(isKnown ? mDecisions.onUpstreamPacket(net::MainLoop::now(), std::move(bytes))
+                  : mDecisions.relayWhileStarting(std::move(bytes)));
+}
+
 void Shell::onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom)
 {
   auto decoded = wire::decode(aDatagram);
@@ -187,7 +215,12 @@
 
 void Shell::perform(SendToCaller& aAction)
 {
-  mSocket.queue(mSettings.mFabric, std::move(aAction.mPacket));
+  flow::Endpoint to = mSettings.mFabric;
+  if (mSurroundings.mCallerPath) {
+    const auto packet = mSurroundings.mFormat.mParse(aAction.mPacket);
+    to = mSurroundings.mCallerPath(packet->mDestination);
+  }
+  mSocket.queue(to, std::move(aAction.mPacket));
 }
 
 void Shell::perform(SendMessage& aAction)
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -6,6 +6,7 @@
 #include "membership/shell.hpp"
 #include "net/admin_server.hpp"
 #include "net/main_loop.hpp"
+#include "net/surroundings.hpp"
 #include "net/udp_socket.hpp"
 #include "telemetry/config_metrics.hpp"
 #include "telemetry/recent_events.hpp"
@@ -18,9 +19,10 @@
 {
   AgentSettings mAgent;   ///< settings of the decisions
   flow::Endpoint mListen; ///< datagrams from balancers, agents and the upstream
-  flow::Endpoint mAdmin;  ///< HTTP for metrics, status and health
-  flow::Endpoint mFabric; ///< where IP packets for callers are sent
-  std::string mName;      ///< name in logs
+  std::optional<flow::Endpoint> mUpstreamListen; ///< datagrams from the upstream alone
+  flow::Endpoint mAdmin;                         ///< HTTP for metrics, status and health
+  flow::Endpoint mFabric;                        ///< where IP packets for callers are sent
+  std::string mName;                             ///< name in logs
   membership::ShellSettings mMembership;
   std::uint32_t mDrainSeconds = 0; ///< how long a stopping agent waits for requests in progress
   bool mLogFlows = false;          ///< log an event for each flow
@@ -32,15 +34,17 @@
 class Shell
 {
 public:
-  explicit Shell(const ShellSettings& aSettings);
+  explicit Shell(const ShellSettings& aSettings, net::Surroundings aSurroundings = {});
 
   /// @brief Runs until SIGTERM.
   void run();
 
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void onUpstreamDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onForward(std::uint64_t aRevision, wire::Forward aForward);
+  void onHoldTimer();
   void onTerminate();
   void onPeerTick();
   net::Health health();
@@ -54,6 +58,7 @@
   nlohmann::json status() const;
 
   ShellSettings mSettings;
+  net::Surroundings mSurroundings;
   net::MainLoop mLoop;
   telemetry::EventLog mLog;
   telemetry::Metrics mMetrics;
@@ -61,6 +66,7 @@
   base::GracefulStop mStop;
   bool mHasForwarded = false; ///< was allowed to forward since its start
   net::UdpSocket mSocket;
+  std::unique_ptr<net::UdpSocket> mUpstreamSocket; ///< if mUpstreamListen is set
   AgentMetrics mAgentMetrics;
   telemetry::ConfigMetrics mConfigMetrics;
   telemetry::RecentEvents mRefusals;
--- a/src/agent/upstream_inquiry.cpp
+++ b/src/agent/upstream_inquiry.cpp
@@ -46,6 +46,15 @@
   return question.mIsFinal ? ResetVerdict::kPass : ResetVerdict::kHold;
 }
 
+void UpstreamInquiry::deny(base::Time aNow, const flow::FlowKey& aFlow)
+{
+  const auto found = mQuestions.find(aFlow);
+  if (found != mQuestions.end()) {
+    found->second.mIsDenied = true;
+    found->second.mDeniedAt = aNow;
+  }
+}
+
 void UpstreamInquiry::erase(const flow::FlowKey& aFlow)
 {
   mQuestions.erase(aFlow);
--- a/src/agent/upstream_inquiry.hpp
+++ b/src/agent/upstream_inquiry.hpp
@@ -33,6 +33,9 @@
   /// @brief The upstream answered a packet of the flow with RST.
   ResetVerdict onReset(base::Time aNow, const flow::FlowKey& aFlow);
 
+  /// @brief The upstream returned a packet of the flow: it doesn't hold it.
+  void deny(base::Time aNow, const flow::FlowKey& aFlow);
+
   /// @brief The flow is known by now: forgets questions and denials.
   void erase(const flow::FlowKey& aFlow);
 
--- a/src/agent/upstream_packets.cpp
+++ b/src/agent/upstream_packets.cpp
@@ -9,17 +9,21 @@
 
 Actions Decisions::onUpstreamPacket(base::Time aNow, flow::Bytes aPacket)
 {
-  const auto packet = flow::TcpPacket::parse(aPacket);
+  const auto packet = mFormat.mParse(aPacket);
   if (!packet) {
     return { DropPacket{ DropReason::kMalformed } };
   }
-  if (!mUpstream || packet->mSource != mServiceAddress) {
+  if (packet->mIsReturned) {
+    return onReturned(aNow, *packet, std::move(aPacket));
+  }
+  FlowRecord* record = mFlows.find(packet->keyFromUpstream());
+  const bool isServed = record != nullptr || mConfiguration->serves(mServiceName, packet->mSource);
+  if (!mUpstream || !isServed) {
     return { DropPacket{ DropReason::kForeignService } };
   }
   if (!mConfiguration->mayReceive(*mUpstream)) {
     return { DropPacket{ DropReason::kZoneOut } };
   }
-  FlowRecord* record = mFlows.find(packet->keyFromUpstream());
   if (record == nullptr) {
     return onUnrecordedAnswer(aNow, *packet, std::move(aPacket));
   }
@@ -86,7 +90,9 @@
 {
   Actions actions;
   if (aPacket.has(flow::kSyn)) {
-    flow::clampMss(aBytes, aPacket, mSettings.mMaxSegment);
+    if (mFormat.mClampMss) {
+      mFormat.mClampMss(aBytes, aPacket, mSettings.mMaxSegment);
+    }
     acceptSyn(aNow, aPacket, aRecord, actions);
   }
   actions.emplace_back(SendToCaller{ std::move(aBytes) });
--- a/src/balancer/actions.hpp
+++ b/src/balancer/actions.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flow/flow_key.hpp"
 #include "wire/forward.hpp"
 
 #include <array>
@@ -13,7 +14,7 @@
 {
   kMalformed,  ///< no complete TCP segment
   kNoService,  ///< no service has this address
-  kNoUpstream, ///< every upstream is in an availability zone that is out
+  kNoUpstream, ///< no upstream may receive the packet
 };
 
 /// @brief Every reason, in the order of the enumeration.
@@ -35,6 +36,15 @@
   auto operator<=>(const SendForward&) const = default;
 };
 
+/// @brief Refuse a new flow with a reset, which nothing of it has run before.
+struct RefuseFlow
+{
+  flow::FlowKey mFlow;
+  flow::Bytes mReset;
+
+  auto operator<=>(const RefuseFlow&) const = default;
+};
+
 /// @brief Drop the packet.
 struct DropPacket
 {
@@ -44,6 +54,6 @@
 };
 
 /// @brief What a balancer does with one packet.
-using Action = std::variant<SendForward, DropPacket>;
+using Action = std::variant<SendForward, RefuseFlow, DropPacket>;
 
 } // namespace cornelcross::balancer
--- a/src/balancer/decisions.hpp
+++ b/src/balancer/decisions.hpp
@@ -2,6 +2,7 @@
 
 #include "balancer/actions.hpp"
 #include "base/time.hpp"
+#include "flow/packet_format.hpp"
 #include "membership/failure_detector.hpp"
 #include "routing/owner_cache.hpp"
 #include "routing/service_table.hpp"
@@ -17,7 +18,12 @@
 public:
   /// @param aSelf          endpoint to which agents send notices
   /// @param aCacheCapacity flows whose owner is remembered, per generation
-  Decisions(flow::Endpoint aSelf, std::size_t aCacheCapacity);
+  /// @param aFormat        layout of callers' packets
+  /// @param aMayRefuse     resets reach callers from here
+  Decisions(flow::Endpoint aSelf,
+            std::size_t aCacheCapacity,
+            flow::PacketFormat aFormat = flow::ipv4Format(),
+            bool aMayRefuse = false);
 
   /// @brief Puts a configuration into force. One with a lower revision is ignored.
   void apply(config::ConfigurationPtr aConfiguration);
@@ -44,15 +50,17 @@
   std::uint64_t revision() const { return mTable.configuration().mRevision; }
 
 private:
-  wire::Forward address(base::Time aNow,
-                        const routing::ServiceRoutes& aRoutes,
-                        const flow::TcpPacket& aPacket);
-  void preferOwner(const flow::FlowKey& aFlow,
-                   const routing::ServiceRoutes& aRoutes,
-                   std::vector<flow::Endpoint>& aCandidates);
+  wire::Forward address(base::Time aNow, const flow::TcpPacket& aPacket);
+  void addOthers(const flow::TcpPacket& aPacket, wire::Forward& aForward);
+  void preferOwner(const flow::FlowKey& aFlow, std::vector<flow::Endpoint>& aCandidates);
+  Action refuse(const flow::TcpPacket& aPacket, DropReason aReason) const;
+  bool mayReceive(flow::Endpoint aAgent) const;
 
   flow::Endpoint mSelf;
+  flow::PacketFormat mFormat;
+  bool mMayRefuse;
   routing::ServiceTable mTable;
+  std::vector<const routing::ServiceRoutes*> mServices; ///< behind the address of this packet
   routing::OwnerCache mOwners;
   membership::FailureDetector mPeers;
 };
--- a/src/balancer/packet_path.cpp
+++ b/src/balancer/packet_path.cpp
@@ -6,8 +6,14 @@
 
 namespace cornelcross::balancer {
 
-PacketPath::PacketPath(Decisions& aDecisions, net::UdpSocket& aSocket, DropHook aOnDrop)
-  : mDecisions(aDecisions), mSocket(aSocket), mOnDrop(std::move(aOnDrop))
+PacketPath::PacketPath(Decisions& aDecisions,
+                       net::UdpSocket& aSocket,
+                       DropHook aOnDrop,
+                       RefuseHook aOnRefuse)
+  : mDecisions(aDecisions)
+  , mSocket(aSocket)
+  , mOnDrop(std::move(aOnDrop))
+  , mOnRefuse(std::move(aOnRefuse))
 {
 }
 
@@ -18,6 +24,10 @@
     mOnDrop(drop->mReason);
     return;
   }
+  if (const auto* refusal = std::get_if<RefuseFlow>(&action)) {
+    mOnRefuse(*refusal);
+    return;
+  }
   const auto& send = std::get<SendForward>(action);
   ++mForwarded;
   mSocket.queue(send.mTo, wire::encodeForward(mDecisions.revision(), send.mForward, aPacket));
--- a/src/balancer/packet_path.hpp
+++ b/src/balancer/packet_path.hpp
@@ -14,7 +14,14 @@
   /// @brief Called with the reason of each drop.
   using DropHook = std::function<void(DropReason)>;
 
-  PacketPath(Decisions& aDecisions, net::UdpSocket& aSocket, DropHook aOnDrop);
+  /// @brief Called with each refusal.
+  using RefuseHook = std::function<void(const RefuseFlow&)>;
+
+  /// @param aOnRefuse sends the reset to the caller; may be empty if the decisions refuse nothing
+  PacketPath(Decisions& aDecisions,
+             net::UdpSocket& aSocket,
+             DropHook aOnDrop,
+             RefuseHook aOnRefuse = {});
 
   /// @brief Handles one IP packet; what it sends leaves with the socket's next flush.
   void handle(base::Time aNow, std::span<const std::byte> aPacket);
@@ -26,6 +33,7 @@
   Decisions& mDecisions;
   net::UdpSocket& mSocket;
   DropHook mOnDrop;
+  RefuseHook mOnRefuse;
   std::uint64_t mForwarded = 0;
 };
 
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -1,6 +1,7 @@
 #include "balancer/shell.hpp"
 
 #include "balancer/balancer_status.hpp"
+#include "flow/run_verdict.hpp"
 #include "net/socket_metrics.hpp"
 #include "telemetry/process_metrics.hpp"
 
@@ -12,11 +13,15 @@
 
 } // namespace
 
-Shell::Shell(const BalancerSettings& aSettings)
+Shell::Shell(const BalancerSettings& aSettings, net::Surroundings aSurroundings)
   : mSettings(aSettings)
+  , mSurroundings(std::move(aSurroundings))
   , mLog(aSettings.mName)
-  , mDecisions(aSettings.mAdvertise, aSettings.mCacheCapacity)
-  , mSocket(aSettings.mListen)
+  , mDecisions(aSettings.mAdvertise,
+               aSettings.mCacheCapacity,
+               mSurroundings.mFormat,
+               static_cast<bool>(mSurroundings.mCallerPath))
+  , mSocket(aSettings.mListen, mSurroundings.maxDatagram())
   , mMembership(
       aSettings.mMembership,
       mLog,
@@ -27,15 +32,19 @@
       },
       [this](config::ConfigurationPtr aConfiguration) {
         onConfiguration(std::move(aConfiguration));
-      })
+      },
+      mSurroundings.mSource)
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
       [this] { return status(); },
-      [this] { return health(); })
-  , mPath(mDecisions,
-          mSocket,
-          [this](DropReason aReason) { mBalancerMetrics.noteDrop(toString(aReason)); })
+      [this] { return health(); },
+      mSurroundings.mHealthPage)
+  , mPath(
+      mDecisions,
+      mSocket,
+      [this](DropReason aReason) { mBalancerMetrics.noteDrop(toString(aReason)); },
+      [this](const RefuseFlow& aRefusal) { refuse(aRefusal); })
   , mBalancerMetrics(mMetrics, mDecisions, mPath)
   , mConfigMetrics(mMetrics)
 {
@@ -93,6 +102,14 @@
   }
 }
 
+void Shell::refuse(const RefuseFlow& aRefusal)
+{
+  mLog.write({ telemetry::EventKind::kFlowRefused,
+               { { "flow", aRefusal.mFlow.toString() },
+                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) } } });
+  mSocket.queue(mSurroundings.mCallerPath(aRefusal.mFlow.mCaller), aRefusal.mReset);
+}
+
 void Shell::probePeers()
 {
   for (const flow::Endpoint peer : mDecisions.peers().takeProbes(net::MainLoop::now())) {
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -6,6 +6,7 @@
 #include "membership/shell.hpp"
 #include "net/admin_server.hpp"
 #include "net/main_loop.hpp"
+#include "net/surroundings.hpp"
 #include "net/udp_socket.hpp"
 #include "telemetry/config_metrics.hpp"
 #include "wire/codec.hpp"
@@ -30,7 +31,7 @@
 class Shell
 {
 public:
-  explicit Shell(const BalancerSettings& aSettings);
+  explicit Shell(const BalancerSettings& aSettings, net::Surroundings aSurroundings = {});
 
   /// @brief Runs until SIGTERM and for the drain time after it, or until a second SIGTERM.
   void run();
@@ -38,6 +39,7 @@
 private:
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
+  void refuse(const RefuseFlow& aRefusal);
   void probePeers();
   void onConfiguration(config::ConfigurationPtr aConfiguration);
   nlohmann::json status() const;
@@ -45,6 +47,7 @@
   void onTerminate();
 
   BalancerSettings mSettings;
+  net::Surroundings mSurroundings;
   net::MainLoop mLoop;
   telemetry::EventLog mLog;
   telemetry::Metrics mMetrics;
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -1,5 +1,7 @@
 #include "config/configuration.hpp"
 
+#include <algorithm>
+
 namespace cornelcross::config {
 
 bool Configuration::zoneIsIn(const std::string& aZone) const
@@ -8,6 +10,19 @@
   return found == mZones.end() || found->second.mIsIn || !base::mechanisms().mObserveZoneOut;
 }
 
+bool Configuration::serves(const std::string& aService, flow::Endpoint aAddress) const
+{
+  const auto service = mServices.find(aService);
+  if (service != mServices.end() && service->second.mAddress == aAddress) {
+    return true;
+  }
+  const auto route = mAddresses.find(aAddress);
+  return route != mAddresses.end() &&
+         std::any_of(route->second.mShares.begin(),
+                     route->second.mShares.end(),
+                     [&](const ServiceShare& aShare) { return aShare.mService == aService; });
+}
+
 // Prefixes may nest, as a customer's site within a provider's range: the longest match counts, as
 // in IP routing (RFC 4632, section 5.1).
 std::size_t Configuration::workspaceOf(flow::Ipv4Address aAddress) const
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/mechanisms.hpp"
+#include "config/address_route.hpp"
 #include "config/availability_zone.hpp"
 #include "config/service.hpp"
 #include "config/workspace.hpp"
@@ -16,6 +17,7 @@
   std::uint64_t mRevision = 0; ///< highest revision that was seen
   std::map<std::string, Service> mServices;
   std::map<std::string, AvailabilityZone> mZones;
+  std::map<flow::Endpoint, AddressRoute> mAddresses;
   std::vector<Workspace> mWorkspaces;
 
   auto operator<=>(const Configuration&) const = default;
@@ -23,6 +25,9 @@
   /// @brief True unless operators have taken the zone out. Unlisted zones are in.
   bool zoneIsIn(const std::string& aZone) const;
 
+  /// @brief True if flows to aAddress may belong to the service.
+  bool serves(const std::string& aService, flow::Endpoint aAddress) const;
+
   /// @brief Index of the workspace that an address belongs to, plus one; 0 if there is none.
   std::size_t workspaceOf(flow::Ipv4Address aAddress) const;
 
@@ -32,7 +37,7 @@
   /// @brief True if the upstream may be given new flows.
   bool mayOpen(const Upstream& aUpstream) const
   {
-    return mayReceive(aUpstream) &&
+    return mayReceive(aUpstream) && aUpstream.mState != UpstreamState::kGone &&
            (aUpstream.mState != UpstreamState::kLeaving || !base::mechanisms().mObserveLeaving);
   }
 };
--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -9,7 +9,7 @@
 /// @brief One key of the configuration service as read from it or from a peer.
 struct Document
 {
-  std::string mKey;                 ///< "service/NAME", "zones" or "workspaces"
+  std::string mKey;                 ///< "service/NAME", "address/ADDRESS", "zones" or "workspaces"
   std::uint64_t mRevision = 0;      ///< revision of the service at which the key was last written
   std::optional<std::string> mText; ///< JSON; empty once the key was deleted
 
--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view kServicePrefix = "service/";
+constexpr std::string_view kAddressPrefix = "address/";
 constexpr std::string_view kZonesKey = "zones";
 constexpr std::string_view kWorkspacesKey = "workspaces";
 
@@ -25,6 +26,16 @@
   return aKey.substr(kServicePrefix.size());
 }
 
+bool isAddressKey(const std::string& aKey)
+{
+  return aKey.starts_with(kAddressPrefix);
+}
+
+std::string addressOf(const std::string& aKey)
+{
+  return aKey.substr(kAddressPrefix.size());
+}
+
 bool isOlder(const Document& aLeft, const Document& aRight)
 {
   return aLeft.mRevision != aRight.mRevision ? aLeft.mRevision < aRight.mRevision
@@ -43,9 +54,10 @@
 Parsed<DocumentValue> parseDocument(const Document& aDocument)
 {
   const std::string& key = aDocument.mKey;
-  if (!isServiceKey(key) && key != kZonesKey && key != kWorkspacesKey) {
-    return std::vector<ConfigError>{ { key,
-                                       "a key \"service/NAME\", \"zones\" or \"workspaces\"" } };
+  if (!isServiceKey(key) && !isAddressKey(key) && key != kZonesKey && key != kWorkspacesKey) {
+    return std::vector<ConfigError>{
+      { key, "a key \"service/NAME\", \"address/ADDRESS\", \"zones\" or \"workspaces\"" }
+    };
   }
   if (!aDocument.mText) {
     return DocumentValue{};
@@ -56,6 +68,9 @@
   if (key == kWorkspacesKey) {
     return widen(parseWorkspaces(*aDocument.mText));
   }
+  if (isAddressKey(key)) {
+    return widen(parseAddress(addressOf(key), *aDocument.mText));
+  }
   return widen(parseService(serviceName(key), *aDocument.mText));
 }
 
@@ -186,6 +201,19 @@
   return documents;
 }
 
+std::vector<std::string> DocumentStore::keysWith(const std::string& aPrefix) const
+{
+  std::vector<std::string> keys;
+  for (auto it = mAccepted.lower_bound(aPrefix);
+       it != mAccepted.end() && it->first.starts_with(aPrefix);
+       ++it) {
+    if (it->second.mText) {
+      keys.push_back(it->first);
+    }
+  }
+  return keys;
+}
+
 std::vector<std::string> DocumentStore::rejectedKeys() const
 {
   std::vector<std::string> keys;
@@ -212,6 +240,8 @@
 {
   if (auto* service = std::get_if<Service>(&aValue)) {
     aNext.mServices.insert_or_assign(serviceName(aKey), std::move(*service));
+  } else if (auto* route = std::get_if<AddressRoute>(&aValue)) {
+    aNext.mAddresses.insert_or_assign(route->mAddress, std::move(*route));
   } else if (auto* zones = std::get_if<std::vector<AvailabilityZone>>(&aValue)) {
     aNext.mZones.clear();
     for (const AvailabilityZone& zone : *zones) {
@@ -230,6 +260,10 @@
     aNext.mZones.clear();
   } else if (aKey == kWorkspacesKey) {
     aNext.mWorkspaces.clear();
+  } else if (isAddressKey(aKey)) {
+    if (const auto address = flow::Endpoint::parse(addressOf(aKey))) {
+      aNext.mAddresses.erase(*address);
+    }
   } else {
     aNext.mServices.erase(serviceName(aKey));
   }
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -11,8 +11,11 @@
 namespace cornelcross::config {
 
 /// @brief Parsed content of a document; empty for a tombstone.
-using DocumentValue =
-  std::variant<std::monostate, Service, std::vector<AvailabilityZone>, std::vector<Workspace>>;
+using DocumentValue = std::variant<std::monostate,
+                                   Service,
+                                   AddressRoute,
+                                   std::vector<AvailabilityZone>,
+                                   std::vector<Workspace>>;
 
 /// @brief The accepted documents of one process and the configuration that they give.
 ///
@@ -42,6 +45,9 @@
   /// @brief Accepted documents of these keys; a key without one is left out.
   std::vector<Document> documentsOf(const std::vector<std::string>& aKeys) const;
 
+  /// @brief Keys that begin with aPrefix and have an accepted document; deleted ones are left out.
+  std::vector<std::string> keysWith(const std::string& aPrefix) const;
+
   /// @brief Keys of which a document was rejected that is newer than the accepted one. A peer may
   /// hold an accepted version that this process has never seen.
   std::vector<std::string> rejectedKeys() const;
--- a/src/config/endpoint_index.cpp
+++ b/src/config/endpoint_index.cpp
@@ -6,7 +6,9 @@
 {
   erase(aService.mName);
   Used used{ aService.mAddress, {} };
-  mByAddress.insert_or_assign(aService.mAddress, aService.mName);
+  if (aService.mAddress != flow::Endpoint{}) {
+    mByAddress.insert_or_assign(aService.mAddress, aService.mName);
+  }
   for (const Upstream& upstream : aService.mUpstreams) {
     for (const flow::Endpoint endpoint : { upstream.mAgent, upstream.mAddress }) {
       used.mListed.push_back(endpoint);
@@ -22,7 +24,9 @@
   if (found == mUsed.end()) {
     return;
   }
-  mByAddress.erase(found->second.mAddress);
+  if (found->second.mAddress != flow::Endpoint{}) {
+    mByAddress.erase(found->second.mAddress);
+  }
   for (const flow::Endpoint endpoint : found->second.mListed) {
     mByListed.erase(endpoint);
   }
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -91,6 +91,21 @@
   return aMin;
 }
 
+std::uint64_t JsonReader::readNumber(const nlohmann::json& aObject,
+                                     const std::string& aPath,
+                                     const std::string& aName)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end()) {
+    return 0;
+  }
+  if (found->is_number_unsigned()) {
+    return found->get<std::uint64_t>();
+  }
+  fail(aPath + "." + aName, "an integer of at most 64 bits that is not negative");
+  return 0;
+}
+
 void JsonReader::forEach(
   const nlohmann::json& aObject,
   const std::string& aPath,
--- a/src/config/json_reader.hpp
+++ b/src/config/json_reader.hpp
@@ -44,6 +44,11 @@
                             std::uint32_t aMax,
                             std::optional<std::uint32_t> aDefault);
 
+  /// @brief Integer member of 64 bits; 0 when the member is absent.
+  std::uint64_t readNumber(const nlohmann::json& aObject,
+                           const std::string& aPath,
+                           const std::string& aName);
+
   /// @brief Calls aVisit with each element of the array member and its path.
   void forEach(const nlohmann::json& aObject,
                const std::string& aPath,
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::uint32_t kMaxSlots = 100000;
 constexpr std::uint32_t kMaxWeight = 1000;
+constexpr std::uint32_t kMaxColdMilliseconds = 86400000;
+constexpr std::uint32_t kMaxColdFlows = 1000000; // a second
 
 Upstream readUpstream(JsonReader& aReader,
                       const std::string& aService,
@@ -16,7 +18,9 @@
 {
   Upstream upstream;
   if (!aReader.checkMembers(
-        aValue, aPath, { "name", "agent", "address", "zone", "slots", "weight", "state" })) {
+        aValue,
+        aPath,
+        { "name", "agent", "address", "zone", "slots", "weight", "state", "incarnation" })) {
     return upstream;
   }
   upstream.mName = aReader.readString(aValue, aPath, "name");
@@ -30,10 +34,23 @@
     aReader.fail(aPath + ".state", "\"joining\", \"serving\" or \"leaving\"");
   }
   upstream.mState = state.value_or(UpstreamState::kLeaving);
+  upstream.mIncarnation = aReader.readNumber(aValue, aPath, "incarnation");
   upstream.mIdentity = upstreamIdentity(aService, upstream.mName);
   return upstream;
 }
 
+ColdStart readColdStart(JsonReader& aReader, const nlohmann::json& aValue, const std::string& aPath)
+{
+  ColdStart cold;
+  if (aReader.checkMembers(aValue, aPath, { "milliseconds", "flows_per_second" })) {
+    cold.mMilliseconds =
+      aReader.readInteger(aValue, aPath, "milliseconds", 0, kMaxColdMilliseconds, std::nullopt);
+    cold.mFlowsPerSecond =
+      aReader.readInteger(aValue, aPath, "flows_per_second", 1, kMaxColdFlows, std::nullopt);
+  }
+  return cold;
+}
+
 void checkUnique(JsonReader& aReader, const Service& aService, const std::string& aPath)
 {
   std::set<std::string> names;
@@ -71,8 +88,13 @@
   Service service;
   service.mName = aName;
   const auto value = reader.parse(path, aText);
-  if (reader.checkMembers(value, path, { "address", "upstreams" })) {
-    service.mAddress = reader.readEndpoint(value, path, "address");
+  if (reader.checkMembers(value, path, { "address", "upstreams", "cold_start" })) {
+    if (value.contains("address")) {
+      service.mAddress = reader.readEndpoint(value, path, "address");
+    }
+    if (value.contains("cold_start")) {
+      service.mColdStart = readColdStart(reader, value.at("cold_start"), path + ".cold_start");
+    }
     reader.forEach(value, path, "upstreams", [&](const auto& aElement, const auto& aPath) {
       service.mUpstreams.push_back(readUpstream(reader, aName, aElement, aPath));
     });
@@ -83,6 +105,35 @@
   return finish(reader, std::move(service));
 }
 
+Parsed<AddressRoute> parseAddress(const std::string& aAddress, const std::string& aText)
+{
+  const std::string path = "address/" + aAddress;
+  JsonReader reader;
+  AddressRoute route;
+  const auto address = flow::Endpoint::parse(aAddress);
+  if (!address) {
+    reader.fail(path, "a key with an IPv4 address and port as \"address/a.b.c.d:port\"");
+  }
+  route.mAddress = address.value_or(flow::Endpoint{});
+  std::set<std::string> names;
+  const auto value = reader.parse(path, aText);
+  if (reader.checkMembers(value, path, { "services" })) {
+    reader.forEach(value, path, "services", [&](const auto& aElement, const auto& aPath) {
+      if (!reader.checkMembers(aElement, aPath, { "service", "weight" })) {
+        return;
+      }
+      ServiceShare share;
+      share.mService = reader.readString(aElement, aPath, "service");
+      share.mWeight = reader.readInteger(aElement, aPath, "weight", 0, kMaxWeight, 1);
+      if (!names.insert(share.mService).second) {
+        reader.fail(aPath + ".service", "a service that is listed once");
+      }
+      route.mShares.push_back(std::move(share));
+    });
+  }
+  return finish(reader, std::move(route));
+}
+
 Parsed<std::vector<AvailabilityZone>> parseZones(const std::string& aText)
 {
   JsonReader reader;
--- a/src/config/parse.hpp
+++ b/src/config/parse.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/address_route.hpp"
 #include "config/availability_zone.hpp"
 #include "config/config_error.hpp"
 #include "config/service.hpp"
@@ -18,6 +19,9 @@
 /// @brief Parses the document "service/NAME".
 Parsed<Service> parseService(const std::string& aName, const std::string& aText);
 
+/// @brief Parses the document "address/ADDRESS".
+Parsed<AddressRoute> parseAddress(const std::string& aAddress, const std::string& aText);
+
 /// @brief Parses the document "zones".
 Parsed<std::vector<AvailabilityZone>> parseZones(const std::string& aText);
 
--- a/src/config/upstream_state.cpp
+++ b/src/config/upstream_state.cpp
@@ -11,6 +11,8 @@
       return "serving";
     case UpstreamState::kLeaving:
       return "leaving";
+    case UpstreamState::kGone:
+      return "gone";
   }
   return "unknown";
 }
--- a/src/flow/tcp_packet.hpp
+++ b/src/flow/tcp_packet.hpp
@@ -29,6 +29,8 @@
   std::uint16_t mIpHeaderLength = 0;  ///< bytes
   std::uint16_t mTcpHeaderLength = 0; ///< bytes
   std::uint32_t mPayloadLength = 0;   ///< bytes
+  bool mIsReturned = false; ///< the upstream gave it back: it takes no such flow and holds none
+  std::uint32_t mTag = 0;   ///< see PacketFormat::mSetTag
 
   auto operator<=>(const TcpPacket&) const = default;
 
--- a/src/membership/confirmation.cpp
+++ b/src/membership/confirmation.cpp
@@ -45,6 +45,9 @@
     return false;
   }
   const bool peersAreDone = mWaitingFor.empty() || aNow - mAskedAt >= mSettings.mPeerReplyTimeout;
+  if (mHasServiceAnswer && mSettings.mServiceIsLinearizable) {
+    return true;
+  }
   return mHasConfirmedReply || (mHasServiceAnswer && peersAreDone);
 }
 
--- a/src/membership/decisions.cpp
+++ b/src/membership/decisions.cpp
@@ -9,7 +9,6 @@
 constexpr base::Duration kConfirmInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kRejectedInterval = std::chrono::seconds(1);
 constexpr unsigned kRejectedTries = 3; // peers asked for an accepted version
-constexpr base::Duration kSeedsFirst = std::chrono::milliseconds(300);
 
 std::uint32_t toMilliseconds(base::Duration aAge)
 {
@@ -34,7 +33,7 @@
   mObservedAt = aNow;
   mConfirmation.begin(aNow);
   // With seeds the first documents come from a peer, and the service is asked for the rest.
-  mService.readSoon(mSettings.mSeeds.empty() ? aNow : aNow + kSeedsFirst);
+  mService.readSoon(mSettings.mSeeds.empty() ? aNow : aNow + mSettings.mSeedsFirst);
   return onTick(aNow);
 }
 
--- a/src/membership/service_schedule.cpp
+++ b/src/membership/service_schedule.cpp
@@ -6,14 +6,12 @@
 
 // A watch that goes silent is noticed within this and the time for the answer, 5 s in all.
 constexpr unsigned kWatchSeconds = 3;
-constexpr base::Duration kMinBackoff = std::chrono::milliseconds(500);
-constexpr base::Duration kMaxBackoff = std::chrono::seconds(60);
 
 } // namespace
 
 ServiceSchedule::ServiceSchedule(const Settings& aSettings)
   : mSettings(aSettings)
-  , mBackoff(kMinBackoff, kMaxBackoff)
+  , mBackoff(aSettings.mServiceMinBackoff, aSettings.mServiceMaxBackoff)
   , mStaleAfter(aSettings.mServiceStaleAfter)
 {
 }
--- a/src/membership/settings.hpp
+++ b/src/membership/settings.hpp
@@ -27,6 +27,10 @@
   base::Duration mPauseGap = std::chrono::seconds(2);       ///< a clock gap that counts as a pause
   base::Duration mServiceStaleAfter = std::chrono::seconds(20);
   base::Duration mServiceStaleJitter = std::chrono::seconds(60);
+  base::Duration mServiceMinBackoff = std::chrono::milliseconds(500); ///< after a failed read
+  base::Duration mServiceMaxBackoff = std::chrono::seconds(60);
+  base::Duration mSeedsFirst = std::chrono::milliseconds(300); ///< before a start's first read
+  bool mServiceIsLinearizable = false; ///< its answer alone confirms a revision
 
   auto operator<=>(const Settings&) const = default;
 };
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -23,7 +23,8 @@
              const telemetry::EventLog& aLog,
              telemetry::Metrics& aMetrics,
              Sender aSender,
-             Listener aListener)
+             Listener aListener,
+             const net::DocumentSourceFactory& aSource)
   : mSettings(aSettings)
   , mLog(aLog)
   , mMetrics(aMetrics)
@@ -32,8 +33,8 @@
   , mDecisions(aSettings.mDecisions)
   , mBudget(aSettings.mControlBytesPerSecond, kBudgetBurst)
   , mQueue(mBudget)
-  , mService(aSettings.mConfigService,
-             [this](const net::ConfigResult& aResult) { onServiceResult(aResult); })
+  , mGone(aSettings.mGoneLifetime)
+  , mService(makeSource(aSource ? aSource : net::configServiceSource(aSettings.mConfigService)))
   , mPullServer(
       aSettings.mListen,
       [this](std::span<const std::byte> aRequest) { return answerPull(aRequest); },
@@ -44,11 +45,30 @@
 {
 }
 
+net::DocumentSource Shell::makeSource(const net::DocumentSourceFactory& aFactory)
+{
+  return aFactory({ [this](const net::ConfigResult& aResult) { onServiceResult(aResult); },
+                    [this](const std::string& aKey) -> std::optional<config::Document> {
+                      const auto found = mStore.documentsOf({ aKey });
+                      return found.empty() ? std::nullopt : std::optional(found.front());
+                    },
+                    [this](const std::string& aPrefix) { return mStore.keysWith(aPrefix); },
+                    [this](const telemetry::Event& aEvent) { mLog.write(aEvent); } });
+}
+
+void Shell::expireGone(base::Time aNow)
+{
+  if (const auto configuration = mGone.expire(aNow)) {
+    mListener(configuration);
+  }
+}
+
 void Shell::start(net::MainLoop& aLoop)
 {
   aLoop.every(kTick, [this] {
     const base::Time now = net::MainLoop::now();
     perform(mDecisions.onTick(now));
+    expireGone(now);
     sendAll(mQueue.drain(now));
   });
   perform(mDecisions.start(net::MainLoop::now()));
@@ -110,10 +130,10 @@
   const std::size_t bytes = request.size() + kStreamOverhead;
   mBudget.charge(net::MainLoop::now(), bytes);
   count(ControlKind::kPull, "out", bytes);
+  flow::Endpoint peer = aAction.mPeer;
+  peer.mPort = mSettings.mPullPort == 0 ? peer.mPort : mSettings.mPullPort;
   mPullClient.request(
-    aAction.mPeer,
-    request,
-    [this, peer = aAction.mPeer](const std::optional<net::ReceivedMessage>& aReply) {
+    peer, request, [this, peer = aAction.mPeer](const std::optional<net::ReceivedMessage>& aReply) {
       onPullReply(peer, aReply);
     });
 }
@@ -122,7 +142,7 @@
 {
   mBudget.charge(net::MainLoop::now(), kRequestBytes);
   count(ControlKind::kServiceRead, "out", kRequestBytes);
-  mService.read(aAction.mAfter, aAction.mWaitSeconds);
+  mService.mRead(aAction.mAfter, aAction.mWaitSeconds);
 }
 
 void Shell::perform(const telemetry::Event& aEvent)
@@ -196,7 +216,7 @@
                { { "revision", std::to_string(mStore.revision()) }, { "source", aSource } } });
   mMetrics.gauge("cornelcross_config_revision", "Configuration revision in force")
     .Set(static_cast<double>(mStore.revision()));
-  mListener(mStore.configuration());
+  mListener(mGone.apply(net::MainLoop::now(), mStore.configuration()));
   perform(mDecisions.apply(net::MainLoop::now(), *mStore.configuration(), mStore.rejectedKeys()));
 }
 
@@ -215,7 +235,7 @@
   const auto age = mDecisions.serviceAge(net::MainLoop::now());
   nlohmann::json status = { { "may_forward", mDecisions.mayForward() },
                             { "reads_service", mDecisions.isReader() },
-                            { "service_calls", mService.calls() },
+                            { "service_calls", mService.mCalls() },
                             { "peers", mDecisions.peers() },
                             { "control_dropped", mQueue.dropped() } };
   if (age) {
--- a/src/membership/shell.hpp
+++ b/src/membership/shell.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "config/document_store.hpp"
+#include "config/gone_upstreams.hpp"
 #include "membership/control_queue.hpp"
 #include "membership/decisions.hpp"
-#include "net/config_client.hpp"
+#include "net/document_source.hpp"
 #include "net/main_loop.hpp"
 #include "net/pull_client.hpp"
 #include "net/pull_server.hpp"
@@ -19,8 +20,10 @@
 {
   Settings mDecisions;                          ///< settings of the decisions
   flow::Endpoint mListen;                       ///< where pulls of peers are answered over TCP
+  std::uint16_t mPullPort = 0;                  ///< that of peers' pulls; 0: their port in frames
   flow::Endpoint mConfigService;                ///< configuration service
   std::uint32_t mControlBytesPerSecond = 20000; ///< budget for control traffic
+  base::Duration mGoneLifetime = std::chrono::hours(12); ///< see config::GoneUpstreams
 
   auto operator<=>(const ShellSettings&) const = default;
 };
@@ -40,7 +43,8 @@
         const telemetry::EventLog& aLog,
         telemetry::Metrics& aMetrics,
         Sender aSender,
-        Listener aListener);
+        Listener aListener,
+        const net::DocumentSourceFactory& aSource = {});
 
   /// @brief Starts reading, pulling and telling; aLoop must live longer.
   void start(net::MainLoop& aLoop);
@@ -68,6 +72,8 @@
   void perform(const ReadService& aAction);
   void perform(const telemetry::Event& aEvent);
   void sendAll(std::vector<ControlDatagram> aDatagrams);
+  void expireGone(base::Time aNow);
+  net::DocumentSource makeSource(const net::DocumentSourceFactory& aFactory);
   void onServiceResult(const net::ConfigResult& aResult);
   void onPullReply(flow::Endpoint aPeer, const std::optional<net::ReceivedMessage>& aReply);
   flow::Bytes answerPull(std::span<const std::byte> aRequest);
@@ -83,7 +89,8 @@
   Decisions mDecisions;
   ControlBudget mBudget;
   ControlQueue mQueue;
-  net::ConfigClient mService;
+  config::GoneUpstreams mGone;
+  net::DocumentSource mService;
   net::PullClient mPullClient;
   net::PullServer mPullServer;
 };
--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -22,7 +22,8 @@
 AdminServer::AdminServer(flow::Endpoint aLocal,
                          const telemetry::Metrics& aMetrics,
                          std::function<nlohmann::json()> aStatus,
-                         std::function<Health()> aHealth)
+                         std::function<Health()> aHealth,
+                         const std::optional<HealthPage>& aHealthPage)
   : mServer(aLocal)
 {
   mServer.handle("/metrics", [&aMetrics] {
@@ -31,6 +32,10 @@
   mServer.handle("/status", [status = std::move(aStatus)] {
     return HttpResponse{ SOUP_STATUS_OK, "application/json", status().dump(2) + "\n" };
   });
+  if (aHealthPage) {
+    mHealthServer = std::make_unique<HttpServer>(aHealthPage->mListen);
+    mHealthServer->handle(aHealthPage->mPath, [aHealth] { return toResponse(aHealth()); });
+  }
   mServer.handle("/healthz", [health = std::move(aHealth)] { return toResponse(health()); });
 }
 
--- a/src/net/admin_server.hpp
+++ b/src/net/admin_server.hpp
@@ -2,6 +2,7 @@
 
 #include "net/health.hpp"
 #include "net/http_server.hpp"
+#include "net/surroundings.hpp"
 #include "telemetry/metrics.hpp"
 
 #include <nlohmann/json.hpp>
@@ -16,13 +17,16 @@
   /// @param aMetrics metrics to expose
   /// @param aStatus  makes the document for /status
   /// @param aHealth  tells what /healthz answers
+  /// @param aHealthPage another endpoint and path that answer likewise
   AdminServer(flow::Endpoint aLocal,
               const telemetry::Metrics& aMetrics,
               std::function<nlohmann::json()> aStatus,
-              std::function<Health()> aHealth);
+              std::function<Health()> aHealth,
+              const std::optional<HealthPage>& aHealthPage = {});
 
 private:
   HttpServer mServer;
+  std::unique_ptr<HttpServer> mHealthServer; ///< of the page of its own
 };
 
 } // namespace cornelcross::net
--- a/src/net/config_client.hpp
+++ b/src/net/config_client.hpp
@@ -2,10 +2,9 @@
 
 #include "config/document_batch.hpp"
 #include "flow/endpoint.hpp"
+#include "net/http_client.hpp"
 
 #include <functional>
-#include <libsoup/soup.h>
-#include <memory>
 #include <variant>
 
 namespace cornelcross::net {
@@ -27,8 +26,7 @@
 using ConfigResult = std::variant<ConfigAnswer, ConfigFailure>;
 
 /// @brief Reads the configuration service over HTTP, one call at a time:
-/// GET /v1/documents?after=REVISION&wait=SECONDS. Each call has a deadline as a whole, and after a
-/// failure the next one takes a new connection from a new port.
+/// GET /v1/documents?after=REVISION&wait=SECONDS.
 class ConfigClient
 {
 public:
@@ -36,9 +34,6 @@
   using Listener = std::function<void(const ConfigResult&)>;
 
   ConfigClient(flow::Endpoint aService, Listener aListener);
-  ~ConfigClient();
-  ConfigClient(const ConfigClient&) = delete;
-  ConfigClient& operator=(const ConfigClient&) = delete;
 
   /// @brief Starts a read; one in progress is given up.
   /// @param aAfter       revision up to which everything is known
@@ -46,24 +41,17 @@
   void read(std::uint64_t aAfter, unsigned aWaitSeconds);
 
   /// @brief Calls made so far.
-  std::uint64_t calls() const { return mCalls; }
+  std::uint64_t calls() const { return mClient.calls(); }
 
   /// @brief Parses the body of an answer.
   static ConfigResult parse(const std::string& aBody);
 
 private:
-  struct Call;
-
-  static void onResponse(GObject* aSession, GAsyncResult* aResult, gpointer aCall);
-  static gboolean onDeadline(gpointer aCall);
-  static ConfigResult resultOf(SoupMessage* aMessage, GBytes* aBytes, const GError* aError);
-  void giveUp();
+  static ConfigResult resultOf(const HttpResult& aResult);
 
   flow::Endpoint mService;
   Listener mListener;
-  SoupSession* mSession;
-  std::shared_ptr<Call> mCall;
-  std::uint64_t mCalls = 0;
+  HttpClient mClient;
 };
 
 } // namespace cornelcross::net
--- /dev/null
+++ b/src/net/document_source.cpp
@@ -0,0 +1,16 @@
+#include "net/document_source.hpp"
+
+namespace cornelcross::net {
+
+DocumentSourceFactory configServiceSource(flow::Endpoint aService)
+{
+  return [aService](const DocumentSourceContext& aContext) {
+    const auto client = std::make_shared<ConfigClient>(aService, aContext.mListener);
+    return DocumentSource{ [client](std::uint64_t aAfter, unsigned aWaitSeconds) {
+                            client->read(aAfter, aWaitSeconds);
+                          },
+                           [client] { return client->calls(); } };
+  };
+}
+
+} // namespace cornelcross::net
--- a/src/net/main_loop.cpp
+++ b/src/net/main_loop.cpp
@@ -1,6 +1,7 @@
 #include "net/main_loop.hpp"
 
 #include <csignal>
+#include <ctime>
 #include <glib-unix.h>
 
 namespace cornelcross::net {
@@ -79,7 +80,11 @@
 
 base::Time MainLoop::now()
 {
-  return std::chrono::time_point_cast<base::Duration>(std::chrono::steady_clock::now());
+  // Unlike the steady clock, this one goes on while the machine is suspended, which is a pause of
+  // the process like any other.
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return base::Time(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 } // namespace cornelcross::net
--- a/src/net/udp_socket.cpp
+++ b/src/net/udp_socket.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::size_t kBatch = 64;              // datagrams per system call
-constexpr std::size_t kBufferSize = 65536;      // bytes
 constexpr std::size_t kMaxQueued = 256;         // datagrams before an early flush
 constexpr std::size_t kMaxAddresses = 65536;    // cached socket addresses
 constexpr gint kSocketBuffer = 4 * 1024 * 1024; // bytes
@@ -39,7 +38,8 @@
 
 } // namespace
 
-UdpSocket::UdpSocket(flow::Endpoint aLocal) : mBuffers(kBatch, flow::Bytes(kBufferSize))
+UdpSocket::UdpSocket(flow::Endpoint aLocal, std::size_t aMaxDatagram)
+  : mBuffers(kBatch, flow::Bytes(aMaxDatagram))
 {
   GError* error = nullptr;
   mSocket =
@@ -106,6 +106,9 @@
     g_object_unref(senders[index]);
   }
   flush();
+  if (mBatchEnd) {
+    mBatchEnd();
+  }
 }
 
 GSocketAddress* UdpSocket::addressOf(flow::Endpoint aEndpoint)
--- a/src/net/udp_socket.hpp
+++ b/src/net/udp_socket.hpp
@@ -13,11 +13,15 @@
 class UdpSocket
 {
 public:
+  /// @brief Largest datagram over IPv4, in bytes.
+  static constexpr std::size_t kMaxDatagram = 65507;
+
   /// @brief Called with each datagram and its sender.
   using Receiver = std::function<void(std::span<const std::byte>, flow::Endpoint)>;
 
   /// @brief Binds to aLocal. @throws std::runtime_error if the address can't be bound
-  explicit UdpSocket(flow::Endpoint aLocal);
+  /// @param aMaxDatagram bytes; longer ones are cut off there
+  explicit UdpSocket(flow::Endpoint aLocal, std::size_t aMaxDatagram = kMaxDatagram);
   ~UdpSocket();
   UdpSocket(const UdpSocket&) = delete;
   UdpSocket& operator=(const UdpSocket&) = delete;
@@ -25,6 +29,9 @@
   /// @brief Calls aReceiver for each datagram from the main loop; flushes after each batch.
   void onDatagram(Receiver aReceiver);
 
+  /// @brief Calls aHook after each batch that was received.
+  void onBatchEnd(std::function<void()> aHook) { mBatchEnd = std::move(aHook); }
+
   /// @brief Queues a datagram; it leaves with the next flush().
   void queue(flow::Endpoint aTo, flow::Bytes aBytes);
 
@@ -51,6 +58,7 @@
   GSocket* mSocket = nullptr;
   GSource* mSource = nullptr;
   Receiver mReceiver;
+  std::function<void()> mBatchEnd;
   std::vector<flow::Bytes> mBuffers;
   std::vector<Outgoing> mOutgoing;
   std::unordered_map<flow::Endpoint, GSocketAddress*, flow::EndpointHash> mAddresses;
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -12,7 +12,8 @@
                [&](const auto& aUpstream) { return aConfiguration.mayReceive(aUpstream); })
   , mOpeners(aService, [&](const auto& aUpstream) { return aConfiguration.mayOpen(aUpstream); })
   , mOnlyReceivers(aService, [&](const auto& aUpstream) {
-    return aConfiguration.mayReceive(aUpstream) && !aConfiguration.mayOpen(aUpstream);
+    return aConfiguration.mayReceive(aUpstream) && !aConfiguration.mayOpen(aUpstream) &&
+           aUpstream.mState != config::UpstreamState::kGone;
   })
 {
   for (const config::Upstream& upstream : mService.mUpstreams) {
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -22,6 +22,9 @@
   /// @brief Number of upstreams in availability zones that are in.
   std::size_t receivers() const { return mReceivers.size(); }
 
+  /// @brief Number of upstreams that take new flows.
+  std::size_t openers() const { return mOpeners.size(); }
+
   /// @brief True if aAgent is the agent of an upstream that may receive packets. @note O(n)
   bool mayReceive(flow::Endpoint aAgent) const;
 
@@ -37,7 +40,7 @@
   std::uint64_t mIdentity;
   Ranking mReceivers;     ///< upstreams in availability zones that are in
   Ranking mOpeners;       ///< those of them that take new flows
-  Ranking mOnlyReceivers; ///< those of them that don't
+  Ranking mOnlyReceivers; ///< those of them that don't, but are still listed
 };
 
 } // namespace cornelcross::routing
--- a/src/routing/service_table.cpp
+++ b/src/routing/service_table.cpp
@@ -42,18 +42,51 @@
 void ServiceTable::apply(config::ConfigurationPtr aConfiguration)
 {
   const config::ConfigurationPtr before = std::exchange(mConfiguration, std::move(aConfiguration));
-  if (mConfiguration->mZones == before->mZones) {
+  if (mConfiguration->mZones == before->mZones &&
+      mConfiguration->mAddresses == before->mAddresses) {
     prepareChanged(*before);
   } else {
     prepareAll();
   }
 }
 
+std::shared_ptr<ServiceTable::Slot> ServiceTable::slotOf(const std::string& aService)
+{
+  auto& slot = mSlots[aService];
+  if (!slot) {
+    slot = std::make_shared<Slot>();
+  }
+  return slot;
+}
+
+void ServiceTable::prepare(const config::Service& aService)
+{
+  const auto slot = slotOf(aService.mName);
+  slot->mRoutes.emplace(*mConfiguration, aService);
+  if (aService.mAddress != flow::Endpoint{}) {
+    mByAddress.insert_or_assign(aService.mAddress, Target{ { { slot, 1 } }, 1 });
+  }
+}
+
 void ServiceTable::prepareAll()
 {
   mByAddress.clear();
+  mSlots.clear();
+  bindAddresses();
   for (const auto& [name, service] : mConfiguration->mServices) {
-    mByAddress.emplace(service.mAddress, ServiceRoutes(*mConfiguration, service));
+    prepare(service);
+  }
+}
+
+void ServiceTable::bindAddresses()
+{
+  for (const auto& [address, route] : mConfiguration->mAddresses) {
+    Target target;
+    for (const config::ServiceShare& share : route.mShares) {
+      target.mShares.push_back({ slotOf(share.mService), share.mWeight });
+      target.mTotal += share.mWeight;
+    }
+    mByAddress.insert_or_assign(address, std::move(target));
   }
 }
 
@@ -62,16 +95,45 @@
   // All that is gone goes first: a service may have taken over the address of another.
   for (const config::Service* service : difference(aBefore, *mConfiguration)) {
     mByAddress.erase(service->mAddress);
+    slotOf(service->mName)->mRoutes.reset();
   }
   for (const config::Service* service : difference(*mConfiguration, aBefore)) {
-    mByAddress.insert_or_assign(service->mAddress, ServiceRoutes(*mConfiguration, *service));
+    prepare(*service);
   }
 }
 
-const ServiceRoutes* ServiceTable::find(flow::Endpoint aAddress) const
+// The share is chosen by the flow's hash alone, so that every balancer chooses the same one. The
+// high half is used: the ranks of the upstreams come from the whole hash.
+const ServiceRoutes* ServiceTable::find(flow::Endpoint aAddress, std::uint64_t aFlowHash) const
 {
   const auto found = mByAddress.find(aAddress);
-  return found == mByAddress.end() ? nullptr : &found->second;
+  if (found == mByAddress.end() || found->second.mTotal == 0) {
+    return nullptr;
+  }
+  constexpr unsigned kHalf = 32;
+  std::uint64_t point = ((aFlowHash >> kHalf) * found->second.mTotal) >> kHalf;
+  for (const Share& share : found->second.mShares) {
+    if (point < share.mWeight) {
+      return share.mSlot->mRoutes ? &*share.mSlot->mRoutes : nullptr;
+    }
+    point -= share.mWeight;
+  }
+  return nullptr;
+}
+
+void ServiceTable::others(flow::Endpoint aAddress,
+                          const ServiceRoutes* aChosen,
+                          std::vector<const ServiceRoutes*>& aOthers) const
+{
+  const auto found = mByAddress.find(aAddress);
+  if (found == mByAddress.end()) {
+    return;
+  }
+  for (const Share& share : found->second.mShares) {
+    if (share.mSlot->mRoutes && &*share.mSlot->mRoutes != aChosen) {
+      aOthers.push_back(&*share.mSlot->mRoutes);
+    }
+  }
 }
 
 } // namespace cornelcross::routing
--- a/src/wire/archive.hpp
+++ b/src/wire/archive.hpp
@@ -37,8 +37,11 @@
   /// @brief Appends raw bytes.
   void writeBytes(const void* aData, std::size_t aSize)
   {
-    const auto* data = static_cast<const std::byte*>(aData);
-    mBytes.insert(mBytes.end(), data, data + aSize);
+    const std::size_t end = mBytes.size();
+    mBytes.resize(end + aSize);
+    if (aSize > 0) {
+      std::memcpy(mBytes.data() + end, aData, aSize);
+    }
   }
 
 private:
--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -42,4 +42,7 @@
 /// @brief Number of candidates that a Forward may carry.
 inline constexpr std::size_t kMaxCandidates = 16;
 
+/// @brief Bytes of a frame with a Forward beyond its packet, at most.
+inline constexpr std::size_t kMaxForwardHeader = 512;
+
 } // namespace cornelcross::wire
--- a/tests/unit/test_agent_chain.cpp
+++ b/tests/unit/test_agent_chain.cpp
@@ -46,7 +46,8 @@
 
   base::Time mNow{ 100s };
   membership::FailureDetector mPeers;
-  agent::Chain mChain{ mPeers };
+  flow::PacketFormat mFormat = flow::ipv4Format();
+  agent::Chain mChain{ mPeers, mFormat };
   config::ConfigurationPtr mConfiguration;
   routing::ServiceRoutes mRoutes;
   std::vector<flow::Endpoint> mAll;
