Keep services that an address no longer leads to for its established flows

Ruled out: a restart of the owner's agent (none that second).

Change: RetainedRoutes keeps such services with weight 0 and vanished upstreams as gone; the last agent of a chain adds what the balancer did not know; an agent that has not run for the lifetime of a flow gives no verdict. HTTP clients read no proxy settings any more.

--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -40,10 +40,14 @@
       return actions;
     }
     askSuspects(aNow, aPacket, next, aForward, actions);
-    if (!takeNextChunk(aPacket, aForward)) {
+    const std::size_t asked = aForward.mCandidates.size();
+    if (takeNextChunk(aPacket, aForward)) {
+      next = 0;
+    } else if (addUnasked(aPacket, aForward)) {
+      next = asked;
+    } else {
       break;
     }
-    next = 0;
   }
   for (Action& action : end(aPacket, aForward)) {
     actions.push_back(std::move(action));
@@ -82,6 +86,42 @@
   }
 }
 
+// The balancer may have started after a service or an upstream vanished that still holds the flow.
+bool Chain::addUnasked(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
+{
+  if (aPacket.opensFlow() || !mConfiguration || aForward.mChunk > 0) {
+    return false;
+  }
+  bool isAdded = false;
+  std::vector<std::string> names = mConfiguration->servicesAt(aPacket.mDestination);
+  if (mRoutes && mRoutes->service().mAddress == aPacket.mDestination) {
+    names.push_back(mRoutes->service().mName);
+  }
+  for (const std::string& name : names) {
+    const auto service = mConfiguration->mServices.find(name);
+    if (service == mConfiguration->mServices.end()) {
+      continue;
+    }
+    for (const config::Upstream& upstream : service->second.mUpstreams) {
+      auto& candidates = aForward.mCandidates;
+      const bool isAsked = upstream.mAgent == mSelf || std::find(candidates.begin(),
+                                                                 candidates.end(),
+                                                                 upstream.mAgent) !=
+                                                         candidates.end();
+      if (isAsked || !mConfiguration->mayReceive(upstream)) {
+        continue;
+      }
+      if (candidates.size() >= wire::kMaxCandidates) {
+        aForward.mIsUnanimous = false;
+        return isAdded;
+      }
+      candidates.push_back(upstream.mAgent);
+      isAdded = true;
+    }
+  }
+  return isAdded;
+}
+
 bool Chain::takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
 {
   if (aForward.mIsComplete || !mRoutes) {
@@ -140,7 +180,8 @@
     return actions;
   }
   // A RST is never answered with a RST (RFC 9293, section 3.5.2).
-  if (aPacket.has(flow::kRst) || !aForward.mIsUnanimous || !aForward.mIsComplete) {
+  const bool isCertain = mIsHistoryKnown || !mFormat.returnsPackets();
+  if (aPacket.has(flow::kRst) || !aForward.mIsUnanimous || !aForward.mIsComplete || !isCertain) {
     return { DropPacket{ DropReason::kNoOwner } };
   }
   return { SendToCaller{ mFormat.mMakeReset(aPacket) } };
--- a/src/agent/chain.hpp
+++ b/src/agent/chain.hpp
@@ -16,14 +16,21 @@
 public:
   /// @param aPeers  which agents answer; outlives this object
   /// @param aFormat layout of packets; outlives this object
-  Chain(membership::FailureDetector& aPeers, const flow::PacketFormat& aFormat)
-    : mPeers(aPeers), mFormat(aFormat)
+  /// @param aSelf   this agent
+  Chain(membership::FailureDetector& aPeers,
+        const flow::PacketFormat& aFormat,
+        flow::Endpoint aSelf)
+    : mPeers(aPeers), mFormat(aFormat), mSelf(aSelf)
   {
   }
 
   /// @brief Adopts the configuration and the service in it, which must be part of it.
   void configure(config::ConfigurationPtr aConfiguration, const config::Service* aService);
 
+  /// @brief Tells whether this process has run for as long as a flow lasts. Before that, an address
+  /// may have led to services, and services may have had upstreams, that it has never heard of.
+  void setHistoryKnown(bool aIsKnown) { mIsHistoryKnown = aIsKnown; }
+
   /// @brief Notes that aSelf, which has the packet now, can't tell whether its upstream owns the
   /// flow. The list is bounded: a full one is asked at once and the chain goes on without it.
   static Actions addUnsure(flow::Endpoint aSelf, wire::Forward& aForward);
@@ -40,6 +47,7 @@
   Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
 
 private:
+  bool addUnasked(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
   bool takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
   void askSuspects(base::Time aNow,
                    const flow::TcpPacket& aPacket,
@@ -52,6 +60,8 @@
   const flow::PacketFormat& mFormat;
   config::ConfigurationPtr mConfiguration;
   std::optional<routing::ServiceRoutes> mRoutes;
+  flow::Endpoint mSelf;
+  bool mIsHistoryKnown = false;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -43,7 +43,7 @@
   , mConfiguration(std::make_shared<const config::Configuration>())
   , mAdmission(aSettings.mAdmission)
   , mPending(aSettings.mAdmission.mMaxHeld, aSettings.mAdmission.mMaxHeld)
-  , mChain(mPeers, mFormat)
+  , mChain(mPeers, mFormat, mSettings.mSelf)
   , mReturnable(kReturnable)
   , mKeepAlive(aSettings.mKeepAlive)
 {
@@ -155,9 +155,14 @@
   if (!isServed && base::mechanisms().mCheckService) {
     return { DropPacket{ DropReason::kForeignService } };
   }
+  if (packet->opensFlow() && !mConfiguration->opens(mServiceName, packet->mDestination) &&
+      base::mechanisms().mCheckService) {
+    return passUnserved(aNow, *packet, std::move(aForward), DropReason::kForeignService);
+  }
   if (!mConfiguration->mayReceive(*mUpstream)) {
     return passUnserved(aNow, *packet, std::move(aForward), DropReason::kZoneOut);
   }
+  mChain.setHistoryKnown(recordsAreComplete(aNow));
   // A denial counts only under the configuration that the sender used to list the candidates.
   aForward.mIsUnanimous = aForward.mIsUnanimous && aRevision == revision();
   if (!base::mechanisms().mPassUnowned && !packet->opensFlow()) {
--- a/src/agent/returned_packets.cpp
+++ b/src/agent/returned_packets.cpp
@@ -35,6 +35,7 @@
 Actions Decisions::onReturned(base::Time aNow, const flow::TcpPacket& aPacket, flow::Bytes aBytes)
 {
   mFormat.mClearReturn(aBytes);
+  mChain.setHistoryKnown(recordsAreComplete(aNow));
   const flow::FlowKey key = aPacket.keyFromCaller();
   FlowRecord* record = mFlows.find(key);
   Actions actions;
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -10,7 +10,31 @@
   return found == mZones.end() || found->second.mIsIn || !base::mechanisms().mObserveZoneOut;
 }
 
+std::vector<std::string> Configuration::servicesAt(flow::Endpoint aAddress) const
+{
+  std::vector<std::string> services;
+  const auto route = mAddresses.find(aAddress);
+  if (route != mAddresses.end()) {
+    for (const ServiceShare& share : route->second.mShares) {
+      services.push_back(share.mService);
+    }
+  }
+  return services;
+}
+
 bool Configuration::serves(const std::string& aService, flow::Endpoint aAddress) const
+{
+  return hasShare(aService, aAddress, 0);
+}
+
+bool Configuration::opens(const std::string& aService, flow::Endpoint aAddress) const
+{
+  return hasShare(aService, aAddress, 1);
+}
+
+bool Configuration::hasShare(const std::string& aService,
+                             flow::Endpoint aAddress,
+                             std::uint32_t aMinWeight) const
 {
   const auto service = mServices.find(aService);
   if (service != mServices.end() && service->second.mAddress == aAddress) {
@@ -20,7 +44,9 @@
   return route != mAddresses.end() &&
          std::any_of(route->second.mShares.begin(),
                      route->second.mShares.end(),
-                     [&](const ServiceShare& aShare) { return aShare.mService == aService; });
+                     [&](const ServiceShare& aShare) {
+                       return aShare.mService == aService && aShare.mWeight >= aMinWeight;
+                     });
 }
 
 // Prefixes may nest, as a customer's site within a provider's range: the longest match counts, as
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -28,6 +28,13 @@
   /// @brief True if flows to aAddress may belong to the service.
   bool serves(const std::string& aService, flow::Endpoint aAddress) const;
 
+  /// @brief True if new flows to aAddress may go to the service.
+  bool opens(const std::string& aService, flow::Endpoint aAddress) const;
+
+  /// @brief Names of the services to which an AddressRoute leads, those that keep established flows
+  /// only included.
+  std::vector<std::string> servicesAt(flow::Endpoint aAddress) const;
+
   /// @brief Index of the workspace that an address belongs to, plus one; 0 if there is none.
   std::size_t workspaceOf(flow::Ipv4Address aAddress) const;
 
@@ -40,6 +47,11 @@
     return mayReceive(aUpstream) && aUpstream.mState != UpstreamState::kGone &&
            (aUpstream.mState != UpstreamState::kLeaving || !base::mechanisms().mObserveLeaving);
   }
+
+private:
+  bool hasShare(const std::string& aService,
+                flow::Endpoint aAddress,
+                std::uint32_t aMinWeight) const;
 };
 
 /// @brief Shared, immutable configuration; replaced as a whole.
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -33,7 +33,7 @@
   , mDecisions(aSettings.mDecisions)
   , mBudget(aSettings.mControlBytesPerSecond, kBudgetBurst)
   , mQueue(mBudget)
-  , mGone(aSettings.mGoneLifetime)
+  , mRetained(aSettings.mRetainedLifetime)
   , mService(makeSource(aSource ? aSource : net::configServiceSource(aSettings.mConfigService)))
   , mPullServer(
       aSettings.mListen,
@@ -56,9 +56,9 @@
                     [this](const telemetry::Event& aEvent) { mLog.write(aEvent); } });
 }
 
-void Shell::expireGone(base::Time aNow)
+void Shell::expireRetained(base::Time aNow)
 {
-  if (const auto configuration = mGone.expire(aNow)) {
+  if (const auto configuration = mRetained.expire(aNow)) {
     mListener(configuration);
   }
 }
@@ -68,7 +68,7 @@
   aLoop.every(kTick, [this] {
     const base::Time now = net::MainLoop::now();
     perform(mDecisions.onTick(now));
-    expireGone(now);
+    expireRetained(now);
     sendAll(mQueue.drain(now));
   });
   perform(mDecisions.start(net::MainLoop::now()));
@@ -216,7 +216,7 @@
                { { "revision", std::to_string(mStore.revision()) }, { "source", aSource } } });
   mMetrics.gauge("cornelcross_config_revision", "Configuration revision in force")
     .Set(static_cast<double>(mStore.revision()));
-  mListener(mGone.apply(net::MainLoop::now(), mStore.configuration()));
+  mListener(mRetained.apply(net::MainLoop::now(), mStore.configuration()));
   perform(mDecisions.apply(net::MainLoop::now(), *mStore.configuration(), mStore.rejectedKeys()));
 }
 
--- a/src/membership/shell.hpp
+++ b/src/membership/shell.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "config/document_store.hpp"
-#include "config/gone_upstreams.hpp"
+#include "config/retained_routes.hpp"
 #include "membership/control_queue.hpp"
 #include "membership/decisions.hpp"
 #include "net/document_source.hpp"
@@ -23,7 +23,7 @@
   std::uint16_t mPullPort = 0;                  ///< that of peers' pulls; 0: their port in frames
   flow::Endpoint mConfigService;                ///< configuration service
   std::uint32_t mControlBytesPerSecond = 20000; ///< budget for control traffic
-  base::Duration mGoneLifetime = std::chrono::hours(12); ///< see config::GoneUpstreams
+  base::Duration mRetainedLifetime = std::chrono::hours(12); ///< see config::RetainedRoutes
 
   auto operator<=>(const ShellSettings&) const = default;
 };
@@ -72,7 +72,7 @@
   void perform(const ReadService& aAction);
   void perform(const telemetry::Event& aEvent);
   void sendAll(std::vector<ControlDatagram> aDatagrams);
-  void expireGone(base::Time aNow);
+  void expireRetained(base::Time aNow);
   net::DocumentSource makeSource(const net::DocumentSourceFactory& aFactory);
   void onServiceResult(const net::ConfigResult& aResult);
   void onPullReply(flow::Endpoint aPeer, const std::optional<net::ReceivedMessage>& aReply);
@@ -89,7 +89,7 @@
   Decisions mDecisions;
   ControlBudget mBudget;
   ControlQueue mQueue;
-  config::GoneUpstreams mGone;
+  config::RetainedRoutes mRetained;
   net::DocumentSource mService;
   net::PullClient mPullClient;
   net::PullServer mPullServer;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -24,7 +24,11 @@
   guint mTimer = 0;
 };
 
-HttpClient::HttpClient() : mSession(soup_session_new()) {}
+// Without a proxy resolver, whose settings would be read from the desktop's configuration.
+HttpClient::HttpClient()
+  : mSession(soup_session_new_with_options("proxy-resolver", nullptr, nullptr))
+{
+}
 
 HttpClient::~HttpClient()
 {
--- a/src/net/pull_client.cpp
+++ b/src/net/pull_client.cpp
@@ -46,6 +46,7 @@
   mExchange->mTimer =
     g_timeout_add(kDeadlineMilliseconds, &PullClient::onDeadline, mExchange.get());
   GSocketClient* client = g_socket_client_new();
+  g_socket_client_set_enable_proxy(client, FALSE);
   GSocketAddress* address =
     g_inet_socket_address_new_from_string(aPeer.mAddress.toString().c_str(), aPeer.mPort);
   g_socket_client_connect_async(client,
--- a/tests/unit/test_agent_chain.cpp
+++ b/tests/unit/test_agent_chain.cpp
@@ -47,7 +47,7 @@
   base::Time mNow{ 100s };
   membership::FailureDetector mPeers;
   flow::PacketFormat mFormat = flow::ipv4Format();
-  agent::Chain mChain{ mPeers, mFormat };
+  agent::Chain mChain{ mPeers, mFormat, test::agentOf(0) };
   config::ConfigurationPtr mConfiguration;
   routing::ServiceRoutes mRoutes;
   std::vector<flow::Endpoint> mAll;
