--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -19,6 +19,10 @@
 /// a millisecond, in which far fewer arrive.
 constexpr std::size_t kReturnable = 1024;
 
+/// An upstream that started so much before its agent has started with it: machines that get power
+/// back at once start their processes within a second or two, and clocks differ.
+constexpr std::uint64_t kSameStartMs = 2000;
+
 /// True if the acknowledgement is for data that this upstream has sent. Of an adopted flow the
 /// agent may have seen an old segment only, sent again, of which the caller has long had what
 /// follows.
@@ -56,6 +60,7 @@
   }
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
+  mAllStartedWithThis = allStartedWithThis();
   const auto before = std::exchange(mUpstream, std::nullopt);
   const std::uint64_t serviceBefore = mService;
   const flow::Endpoint addressBefore = mServiceAddress;
@@ -86,7 +91,7 @@
   const bool isAnother =
     before && mUpstream &&
     (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
-     before->mIncarnation != mUpstream->mIncarnation || addressBefore != mServiceAddress);
+     before->mStartedAtMs != mUpstream->mStartedAtMs || addressBefore != mServiceAddress);
   if (isAnother) {
     actions = releaseFlows(aNow);
   }
@@ -162,7 +167,7 @@
   if (!mConfiguration->mayReceive(*mUpstream)) {
     return passUnserved(aNow, *packet, std::move(aForward), DropReason::kZoneOut);
   }
-  mChain.setHistoryKnown(recordsAreComplete(aNow));
+  mChain.setHistoryKnown(isHistoryKnown(aNow));
   // A denial counts only under the configuration that the sender used to list the candidates.
   aForward.mIsUnanimous = aForward.mIsUnanimous && aRevision == revision();
   if (!base::mechanisms().mPassUnowned && !packet->opensFlow()) {
@@ -357,6 +362,28 @@
   return mStarted && aNow - *mStarted >= mSettings.mRecoveryWindow;
 }
 
+bool Decisions::isHistoryKnown(base::Time aNow) const
+{
+  return recordsAreComplete(aNow) || mAllStartedWithThis;
+}
+
+// After a loss of power everything starts at once: no flow is older, whoever served it.
+bool Decisions::allStartedWithThis() const
+{
+  if (mSettings.mStartedAtMs == 0) {
+    return false;
+  }
+  const auto isYoung = [&](const config::Upstream& aUpstream) {
+    return aUpstream.mState == config::UpstreamState::kGone ||
+           aUpstream.mStartedAtMs + kSameStartMs >= mSettings.mStartedAtMs;
+  };
+  return std::all_of(
+    mConfiguration->mServices.begin(), mConfiguration->mServices.end(), [&](const auto& aEntry) {
+      const auto& upstreams = aEntry.second.mUpstreams;
+      return std::all_of(upstreams.begin(), upstreams.end(), isYoung);
+    });
+}
+
 Actions Decisions::onUnrecorded(base::Time aNow,
                                 const flow::TcpPacket& aPacket,
                                 wire::Forward aForward)
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -105,6 +105,8 @@
   void editSyn(flow::Bytes& aBytes, const flow::TcpPacket& aPacket) const;
   Actions onInquiry(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   bool recordsAreComplete(base::Time aNow) const;
+  bool isHistoryKnown(base::Time aNow) const;
+  bool allStartedWithThis() const;
   Actions open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions hold(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
@@ -175,6 +177,7 @@
   ReturnablePackets mReturnable;
   UpstreamWatch mUpstreamWatch;
   KeepAlive mKeepAlive;
+  bool mAllStartedWithThis = false;   ///< no listed upstream is older than this process
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
   bool mIsStopping = false;
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -20,7 +20,7 @@
   if (!aReader.checkMembers(
         aValue,
         aPath,
-        { "name", "agent", "address", "zone", "slots", "weight", "state", "incarnation" })) {
+        { "name", "agent", "address", "zone", "slots", "weight", "state", "started_at_ms" })) {
     return upstream;
   }
   upstream.mName = aReader.readString(aValue, aPath, "name");
@@ -34,7 +34,7 @@
     aReader.fail(aPath + ".state", "\"joining\", \"serving\" or \"leaving\"");
   }
   upstream.mState = state.value_or(UpstreamState::kLeaving);
-  upstream.mIncarnation = aReader.readNumber(aValue, aPath, "incarnation");
+  upstream.mStartedAtMs = aReader.readNumber(aValue, aPath, "started_at_ms");
   upstream.mIdentity = upstreamIdentity(aService, upstream.mName);
   return upstream;
 }
--- a/src/config/upstream.hpp
+++ b/src/config/upstream.hpp
@@ -17,7 +17,7 @@
   std::uint32_t mSlots = 1;  ///< requests that it serves at once
   std::uint32_t mWeight = 1; ///< share of new flows relative to the others
   UpstreamState mState = UpstreamState::kServing;
-  std::uint64_t mIncarnation = 0; ///< differs after each start of the upstream; 0 if not stated
+  std::uint64_t mStartedAtMs = 0; ///< wall clock of its last start; 0 if not stated
   std::uint64_t mIdentity = 0;    ///< hash of service and upstream name; the key for ranking
 
   auto operator<=>(const Upstream&) const = default;
