Let a cold upstream without a stated rate queue requests; explain refusals in the log

Cause: after a loss of power both upstreams of certdesk refused 1,200 flows a second at 7 of 7 slots, although each may queue 28 requests. Ruled out: SYNs that the upstream returned (none more than before when they no longer mark it as refusing).

--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -123,7 +123,8 @@
 {
   const auto usual = static_cast<double>(mLimit.usualLatency().count());
   if (!mSettings.mLimit.mIsLearned) {
-    return limit() * (1 + (isCold() ? 0 : mSettings.mQueuePerSlot));
+    const bool isBounded = isCold() && mColdStart.mFlowsPerSecond > 0;
+    return limit() * (1 + (isBounded ? 0 : mSettings.mQueuePerSlot));
   }
   if (isCold() || usual <= 0) {
     return limit();
--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -169,7 +169,11 @@
              telemetry::Event{
                telemetry::EventKind::kFlowRefused,
                { { "flow", aPacket.keyFromCaller().toString() },
-                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) } } } };
+                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) },
+                 { "asked", std::to_string(aForward.mPosition + 1) },
+                 { "candidates", std::to_string(aForward.mCandidates.size()) },
+                 { "revision",
+                   std::to_string(mConfiguration ? mConfiguration->mRevision : 0) } } } };
   }
   if (!aForward.mUnsure.empty()) {
     // The upstream of the only one left speaks for all; among several, a RST of one is no verdict.
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -265,6 +265,35 @@
 }
 
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
+{
+  return explained(decideOpening(aNow, aPacket, std::move(aForward)));
+}
+
+// What this agent, the last one asked, could have done about a flow that is refused.
+Actions Decisions::explained(Actions aActions) const
+{
+  for (Action& action : aActions) {
+    auto* event = std::get_if<telemetry::Event>(&action);
+    if (event == nullptr || event->mKind != telemetry::EventKind::kFlowRefused) {
+      continue;
+    }
+    event->mFields.insert(
+      event->mFields.end(),
+      { { "upstream", mUpstream->mName },
+        { "state", std::string(toString(mUpstream->mState)) },
+        { "busy", std::to_string(mAdmission.busy()) },
+        { "expected", std::to_string(mAdmission.load() - mAdmission.busy()) },
+        { "flows", std::to_string(mAdmission.flows()) },
+        { "limit", std::to_string(mAdmission.limit()) },
+        { "room", std::to_string(mAdmission.flowRoom()) },
+        { "cold", mAdmission.isCold() ? "yes" : "no" } });
+  }
+  return aActions;
+}
+
+Actions Decisions::decideOpening(base::Time aNow,
+                                 const flow::TcpPacket& aPacket,
+                                 wire::Forward aForward)
 {
   if (mHeldFlows.count(aPacket.keyFromCaller()) > 0) {
     return { DropPacket{ DropReason::kHeldAlready } };
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -107,6 +107,7 @@
   bool recordsAreComplete(base::Time aNow) const;
   bool isHistoryKnown(base::Time aNow) const;
   bool allStartedWithThis() const;
+  Actions decideOpening(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions hold(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
@@ -115,6 +116,7 @@
                       wire::Forward aForward,
                       const admission::PassTo& aPass);
   Actions refuse(const wire::Forward& aForward);
+  Actions explained(Actions aActions) const;
   bool mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const;
   Actions holdRequest(base::Time aNow,
                       FlowRecord& aRecord,
--- a/src/agent/returned_packets.cpp
+++ b/src/agent/returned_packets.cpp
@@ -51,7 +51,6 @@
   }
   const bool isRefused = record != nullptr && aPacket.opensFlow() && !record->mIsAnswered;
   if (isRefused) {
-    mUpstreamWatch.noteRefused(aNow);
     actions.emplace_back(close(aNow, key, *record, "upstream_refused"));
     mFlows.erase(key);
   }
