--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -104,11 +104,15 @@
     }
     for (const config::Upstream& upstream : service->second.mUpstreams) {
       auto& candidates = aForward.mCandidates;
-      const bool isAsked = upstream.mAgent == mSelf || std::find(candidates.begin(),
-                                                                 candidates.end(),
-                                                                 upstream.mAgent) !=
-                                                         candidates.end();
-      if (isAsked || !mConfiguration->mayReceive(upstream)) {
+      const bool isAsked =
+        upstream.mAgent == mSelf ||
+        std::find(candidates.begin(), candidates.end(), upstream.mAgent) != candidates.end();
+      if (!mConfiguration->mayReceive(upstream)) {
+        // It may hold the flow and can't be asked.
+        aForward.mIsUnanimous = false;
+        continue;
+      }
+      if (isAsked) {
         continue;
       }
       if (candidates.size() >= wire::kMaxCandidates) {
@@ -165,15 +169,16 @@
 {
   if (aPacket.opensFlow()) {
     // True under any configuration: no upstream was given this SYN.
-    return { SendToCaller{ mFormat.mMakeReset(aPacket) },
-             telemetry::Event{
-               telemetry::EventKind::kFlowRefused,
-               { { "flow", aPacket.keyFromCaller().toString() },
-                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) },
-                 { "asked", std::to_string(aForward.mPosition + 1) },
-                 { "candidates", std::to_string(aForward.mCandidates.size()) },
-                 { "revision",
-                   std::to_string(mConfiguration ? mConfiguration->mRevision : 0) } } } };
+    return {
+      SendToCaller{ mFormat.mMakeReset(aPacket) },
+      telemetry::Event{
+        telemetry::EventKind::kFlowRefused,
+        { { "flow", aPacket.keyFromCaller().toString() },
+          { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) },
+          { "asked", std::to_string(aForward.mPosition + 1) },
+          { "candidates", std::to_string(aForward.mCandidates.size()) },
+          { "revision", std::to_string(mConfiguration ? mConfiguration->mRevision : 0) } } }
+    };
   }
   if (!aForward.mUnsure.empty()) {
     // The upstream of the only one left speaks for all; among several, a RST of one is no verdict.
@@ -184,7 +189,9 @@
     return actions;
   }
   // A RST is never answered with a RST (RFC 9293, section 3.5.2).
-  const bool isCertain = mIsHistoryKnown || !mFormat.returnsPackets();
+  // Otherwise a service or an upstream that nobody here has heard of may hold the flow.
+  const bool isCertain =
+    !mFormat.returnsPackets() || (mConfiguration && mConfiguration->mIsHistoryComplete);
   if (aPacket.has(flow::kRst) || !aForward.mIsUnanimous || !aForward.mIsComplete || !isCertain) {
     return { DropPacket{ DropReason::kNoOwner } };
   }
--- a/src/agent/chain.hpp
+++ b/src/agent/chain.hpp
@@ -27,10 +27,6 @@
   /// @brief Adopts the configuration and the service in it, which must be part of it.
   void configure(config::ConfigurationPtr aConfiguration, const config::Service* aService);
 
-  /// @brief Tells whether this process has run for as long as a flow lasts. Before that, an address
-  /// may have led to services, and services may have had upstreams, that it has never heard of.
-  void setHistoryKnown(bool aIsKnown) { mIsHistoryKnown = aIsKnown; }
-
   /// @brief Notes that aSelf, which has the packet now, can't tell whether its upstream owns the
   /// flow. The list is bounded: a full one is asked at once and the chain goes on without it.
   static Actions addUnsure(flow::Endpoint aSelf, wire::Forward& aForward);
@@ -61,7 +57,6 @@
   config::ConfigurationPtr mConfiguration;
   std::optional<routing::ServiceRoutes> mRoutes;
   flow::Endpoint mSelf;
-  bool mIsHistoryKnown = false;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -19,10 +19,6 @@
 /// a millisecond, in which far fewer arrive.
 constexpr std::size_t kReturnable = 1024;
 
-/// An upstream that started so much before its agent has started with it: machines that get power
-/// back at once start their processes within a second or two, and clocks differ.
-constexpr std::uint64_t kSameStartMs = 2000;
-
 /// True if the acknowledgement is for data that this upstream has sent. Of an adopted flow the
 /// agent may have seen an old segment only, sent again, of which the caller has long had what
 /// follows.
@@ -58,9 +54,9 @@
   if (aConfiguration->mRevision < revision()) {
     return {};
   }
+  const bool isFirst = !mStarted;
   mStarted = mStarted.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
-  mAllStartedWithThis = allStartedWithThis();
   const auto before = std::exchange(mUpstream, std::nullopt);
   const std::uint64_t serviceBefore = mService;
   const flow::Endpoint addressBefore = mServiceAddress;
@@ -88,22 +84,34 @@
   }
   Actions actions;
   // Another VM, or the same one for another service, has none of the flows that are on record.
-  const bool isAnother =
-    before && mUpstream &&
-    (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
-     before->mStartedAtMs != mUpstream->mStartedAtMs || addressBefore != mServiceAddress);
+  const bool isAnother = before && mUpstream &&
+                         (before->mAddress != mUpstream->mAddress || serviceBefore != mService ||
+                          addressBefore != mServiceAddress);
   if (isAnother) {
     actions = releaseFlows(aNow);
   }
-  if (mUpstream && (isAnother || mUpstream->mIdentity != identity)) {
+  const bool hasRestarted = before && mUpstream && before->mStartedAtMs != mUpstream->mStartedAtMs;
+  if (mUpstream && (isAnother || hasRestarted || mUpstream->mIdentity != identity)) {
     mAdmission.restart(aNow);
   }
+  mSawUpstreamStart = sawUpstreamStart(isFirst, hasRestarted, before.has_value());
   if (before != mUpstream) {
     actions.emplace_back(assignment());
   }
   return actions;
 }
 
+// An upstream that appeared or started again while this agent was there has had no flow without it.
+bool Decisions::sawUpstreamStart(bool aIsFirst, bool aHasRestarted, bool aWasListed) const
+{
+  if (!mUpstream || mSettings.mStartedAtMs == 0) {
+    return false;
+  }
+  const bool isYounger = mUpstream->mStartedAtMs >= mSettings.mStartedAtMs;
+  const bool hasAppeared = !aIsFirst && !aWasListed && isYounger;
+  return hasAppeared || aHasRestarted || mSawUpstreamStart;
+}
+
 Actions Decisions::releaseFlows(base::Time aNow)
 {
   Actions actions;
@@ -167,7 +175,6 @@
   if (!mConfiguration->mayReceive(*mUpstream)) {
     return passUnserved(aNow, *packet, std::move(aForward), DropReason::kZoneOut);
   }
-  mChain.setHistoryKnown(isHistoryKnown(aNow));
   // A denial counts only under the configuration that the sender used to list the candidates.
   aForward.mIsUnanimous = aForward.mIsUnanimous && aRevision == revision();
   if (!base::mechanisms().mPassUnowned && !packet->opensFlow()) {
@@ -277,16 +284,15 @@
     if (event == nullptr || event->mKind != telemetry::EventKind::kFlowRefused) {
       continue;
     }
-    event->mFields.insert(
-      event->mFields.end(),
-      { { "upstream", mUpstream->mName },
-        { "state", std::string(toString(mUpstream->mState)) },
-        { "busy", std::to_string(mAdmission.busy()) },
-        { "expected", std::to_string(mAdmission.load() - mAdmission.busy()) },
-        { "flows", std::to_string(mAdmission.flows()) },
-        { "limit", std::to_string(mAdmission.limit()) },
-        { "room", std::to_string(mAdmission.flowRoom()) },
-        { "cold", mAdmission.isCold() ? "yes" : "no" } });
+    event->mFields.insert(event->mFields.end(),
+                          { { "upstream", mUpstream->mName },
+                            { "state", std::string(toString(mUpstream->mState)) },
+                            { "busy", std::to_string(mAdmission.busy()) },
+                            { "expected", std::to_string(mAdmission.load() - mAdmission.busy()) },
+                            { "flows", std::to_string(mAdmission.flows()) },
+                            { "limit", std::to_string(mAdmission.limit()) },
+                            { "room", std::to_string(mAdmission.flowRoom()) },
+                            { "cold", mAdmission.isCold() ? "yes" : "no" } });
   }
   return aActions;
 }
@@ -388,29 +394,7 @@
 
 bool Decisions::recordsAreComplete(base::Time aNow) const
 {
-  return mStarted && aNow - *mStarted >= mSettings.mRecoveryWindow;
-}
-
-bool Decisions::isHistoryKnown(base::Time aNow) const
-{
-  return recordsAreComplete(aNow) || mAllStartedWithThis;
-}
-
-// After a loss of power everything starts at once: no flow is older, whoever served it.
-bool Decisions::allStartedWithThis() const
-{
-  if (mSettings.mStartedAtMs == 0) {
-    return false;
-  }
-  const auto isYoung = [&](const config::Upstream& aUpstream) {
-    return aUpstream.mState == config::UpstreamState::kGone ||
-           aUpstream.mStartedAtMs + kSameStartMs >= mSettings.mStartedAtMs;
-  };
-  return std::all_of(
-    mConfiguration->mServices.begin(), mConfiguration->mServices.end(), [&](const auto& aEntry) {
-      const auto& upstreams = aEntry.second.mUpstreams;
-      return std::all_of(upstreams.begin(), upstreams.end(), isYoung);
-    });
+  return mSawUpstreamStart || (mStarted && aNow - *mStarted >= mSettings.mRecoveryWindow);
 }
 
 Actions Decisions::onUnrecorded(base::Time aNow,
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -105,8 +105,7 @@
   void editSyn(flow::Bytes& aBytes, const flow::TcpPacket& aPacket) const;
   Actions onInquiry(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   bool recordsAreComplete(base::Time aNow) const;
-  bool isHistoryKnown(base::Time aNow) const;
-  bool allStartedWithThis() const;
+  bool sawUpstreamStart(bool aIsFirst, bool aHasRestarted, bool aWasListed) const;
   Actions decideOpening(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions admit(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
@@ -179,7 +178,7 @@
   ReturnablePackets mReturnable;
   UpstreamWatch mUpstreamWatch;
   KeepAlive mKeepAlive;
-  bool mAllStartedWithThis = false;   ///< no listed upstream is older than this process
+  bool mSawUpstreamStart = false;     ///< the upstream has had no flow without this agent
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
   std::uint64_t mNonce = 0;
   bool mIsStopping = false;
--- a/src/agent/returned_packets.cpp
+++ b/src/agent/returned_packets.cpp
@@ -35,7 +35,6 @@
 Actions Decisions::onReturned(base::Time aNow, const flow::TcpPacket& aPacket, flow::Bytes aBytes)
 {
   mFormat.mClearReturn(aBytes);
-  mChain.setHistoryKnown(isHistoryKnown(aNow));
   const flow::FlowKey key = aPacket.keyFromCaller();
   FlowRecord* record = mFlows.find(key);
   Actions actions;
--- a/src/config/availability_zone.hpp
+++ b/src/config/availability_zone.hpp
@@ -9,6 +9,7 @@
 {
   std::string mName;
   bool mIsIn = true;
+  bool mIsClosing = false; ///< out, but established flows may end what they have begun
 
   auto operator<=>(const AvailabilityZone&) const = default;
 };
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -10,6 +10,12 @@
   return found == mZones.end() || found->second.mIsIn || !base::mechanisms().mObserveZoneOut;
 }
 
+bool Configuration::zoneIsClosing(const std::string& aZone) const
+{
+  const auto found = mZones.find(aZone);
+  return found != mZones.end() && found->second.mIsClosing;
+}
+
 std::vector<std::string> Configuration::servicesAt(flow::Endpoint aAddress) const
 {
   std::vector<std::string> services;
@@ -41,12 +47,12 @@
     return true;
   }
   const auto route = mAddresses.find(aAddress);
-  return route != mAddresses.end() &&
-         std::any_of(route->second.mShares.begin(),
-                     route->second.mShares.end(),
-                     [&](const ServiceShare& aShare) {
-                       return aShare.mService == aService && aShare.mWeight >= aMinWeight;
-                     });
+  return route != mAddresses.end() && std::any_of(route->second.mShares.begin(),
+                                                  route->second.mShares.end(),
+                                                  [&](const ServiceShare& aShare) {
+                                                    return aShare.mService == aService &&
+                                                           aShare.mWeight >= aMinWeight;
+                                                  });
 }
 
 // Prefixes may nest, as a customer's site within a provider's range: the longest match counts, as
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -19,12 +19,16 @@
   std::map<std::string, AvailabilityZone> mZones;
   std::map<flow::Endpoint, AddressRoute> mAddresses;
   std::vector<Workspace> mWorkspaces;
+  bool mIsHistoryComplete = false; ///< see RetainedRoutes::isComplete()
 
   auto operator<=>(const Configuration&) const = default;
 
   /// @brief True unless operators have taken the zone out. Unlisted zones are in.
   bool zoneIsIn(const std::string& aZone) const;
 
+  /// @brief True if operators have taken the zone out just now.
+  bool zoneIsClosing(const std::string& aZone) const;
+
   /// @brief True if flows to aAddress may belong to the service.
   bool serves(const std::string& aService, flow::Endpoint aAddress) const;
 
@@ -39,12 +43,15 @@
   std::size_t workspaceOf(flow::Ipv4Address aAddress) const;
 
   /// @brief True if the upstream may receive packets of established flows.
-  bool mayReceive(const Upstream& aUpstream) const { return zoneIsIn(aUpstream.mZone); }
+  bool mayReceive(const Upstream& aUpstream) const
+  {
+    return zoneIsIn(aUpstream.mZone) || zoneIsClosing(aUpstream.mZone);
+  }
 
   /// @brief True if the upstream may be given new flows.
   bool mayOpen(const Upstream& aUpstream) const
   {
-    return mayReceive(aUpstream) && aUpstream.mState != UpstreamState::kGone &&
+    return zoneIsIn(aUpstream.mZone) && aUpstream.mState != UpstreamState::kGone &&
            (aUpstream.mState != UpstreamState::kLeaving || !base::mechanisms().mObserveLeaving);
   }
 
--- /dev/null
+++ b/src/config/history.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "config/upstream.hpp"
+
+#include <vector>
+
+namespace cornelcross::config {
+
+/// @brief An upstream that vanished from its service's document but may still hold flows.
+struct GoneUpstream
+{
+  std::string mService;
+  Upstream mUpstream;
+  std::uint64_t mAgeMs = 0; ///< since it vanished
+
+  auto operator<=>(const GoneUpstream&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mService,
+             mUpstream.mName,
+             mUpstream.mAgent,
+             mUpstream.mAddress,
+             mUpstream.mZone,
+             mUpstream.mSlots,
+             mUpstream.mWeight,
+             mAgeMs);
+  }
+};
+
+/// @brief A service to which an address no longer leads, but which may still hold flows of it.
+struct GoneShare
+{
+  flow::Endpoint mAddress;
+  std::string mService;
+  std::uint64_t mAgeMs = 0; ///< since it vanished
+
+  auto operator<=>(const GoneShare&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mAddress, mService, mAgeMs);
+  }
+};
+
+/// @brief What a process remembers beyond the documents in force.
+struct History
+{
+  bool mIsComplete = false; ///< nothing that may still hold flows is missing
+  std::vector<GoneUpstream> mUpstreams;
+  std::vector<GoneShare> mShares;
+
+  auto operator<=>(const History&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mIsComplete, mUpstreams, mShares);
+  }
+};
+
+} // namespace cornelcross::config
--- a/src/config/retained_routes.cpp
+++ b/src/config/retained_routes.cpp
@@ -10,6 +10,10 @@
 /// Bound on memory: the largest service of which all upstreams vanish at once.
 constexpr std::size_t kMaxRetained = 4096;
 
+/// An upstream that started so much before a process has started with it: machines that get power
+/// back at once start their processes within a second or two, and clocks differ.
+constexpr std::uint64_t kSameStartMs = 2000;
+
 bool leadsTo(const AddressRoute& aRoute, const std::string& aService)
 {
   return std::any_of(aRoute.mShares.begin(), aRoute.mShares.end(), [&](const ServiceShare& aShare) {
@@ -17,8 +21,35 @@
   });
 }
 
+std::uint64_t millisecondsBetween(base::Time aFrom, base::Time aTo)
+{
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aTo - aFrom).count();
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0));
+}
+
 } // namespace
 
+void RetainedRoutes::add(base::Time aSince, GoneUpstream aGone)
+{
+  const bool isKnown = std::any_of(mUpstreams.begin(), mUpstreams.end(), [&](const auto& aKept) {
+    return aKept.mEntry.mUpstream.mIdentity == aGone.mUpstream.mIdentity;
+  });
+  if (!isKnown && mUpstreams.size() < kMaxRetained) {
+    aGone.mUpstream.mState = UpstreamState::kGone;
+    mUpstreams.push_back({ std::move(aGone), aSince });
+  }
+}
+
+void RetainedRoutes::add(base::Time aSince, GoneShare aGone)
+{
+  const bool isKnown = std::any_of(mShares.begin(), mShares.end(), [&](const auto& aKept) {
+    return aKept.mEntry.mAddress == aGone.mAddress && aKept.mEntry.mService == aGone.mService;
+  });
+  if (!isKnown && mShares.size() < kMaxRetained) {
+    mShares.push_back({ std::move(aGone), aSince });
+  }
+}
+
 void RetainedRoutes::collect(base::Time aNow, const Service& aBefore, const Service* aAfter)
 {
   std::set<std::uint64_t> listed;
@@ -28,9 +59,8 @@
     }
   }
   for (const Upstream& upstream : aBefore.mUpstreams) {
-    if (!listed.contains(upstream.mIdentity) && mUpstreams.size() < kMaxRetained) {
-      mUpstreams.push_back({ aBefore.mName, upstream, aNow });
-      mUpstreams.back().mUpstream.mState = UpstreamState::kGone;
+    if (!listed.contains(upstream.mIdentity)) {
+      add(aNow, GoneUpstream{ aBefore.mName, upstream, 0 });
     }
   }
 }
@@ -46,8 +76,8 @@
     identities.insert(upstream.mIdentity);
     endpoints.insert({ upstream.mAgent, upstream.mAddress });
   }
-  std::erase_if(mUpstreams, [&](const GoneUpstream& aGone) {
-    const Upstream& upstream = aGone.mUpstream;
+  std::erase_if(mUpstreams, [&](const auto& aKept) {
+    const Upstream& upstream = aKept.mEntry.mUpstream;
     return identities.contains(upstream.mIdentity) || endpoints.contains(upstream.mAgent) ||
            endpoints.contains(upstream.mAddress);
   });
@@ -72,54 +102,132 @@
   }
 }
 
-void RetainedRoutes::applyAddresses(base::Time aNow, const Configuration& aNext)
+void RetainedRoutes::forgetShares(const Configuration& aNext)
 {
-  std::erase_if(mShares, [&](const GoneShare& aGone) {
-    const auto route = aNext.mAddresses.find(aGone.mAddress);
-    return route == aNext.mAddresses.end() || leadsTo(route->second, aGone.mService);
+  std::erase_if(mShares, [&](const auto& aKept) {
+    const auto route = aNext.mAddresses.find(aKept.mEntry.mAddress);
+    return route == aNext.mAddresses.end() || leadsTo(route->second, aKept.mEntry.mService);
   });
+}
+
+void RetainedRoutes::applyAddresses(base::Time aNow, const Configuration& aNext)
+{
+  forgetShares(aNext);
   for (const auto& [address, before] : mDeclared->mAddresses) {
     const auto after = aNext.mAddresses.find(address);
     if (after == aNext.mAddresses.end() || after->second == before) {
       continue;
     }
     for (const ServiceShare& share : before.mShares) {
-      if (!leadsTo(after->second, share.mService) && mShares.size() < kMaxRetained) {
-        mShares.push_back({ address, share.mService, aNow });
+      if (!leadsTo(after->second, share.mService)) {
+        add(aNow, GoneShare{ address, share.mService, 0 });
       }
     }
   }
 }
 
+void RetainedRoutes::applyZones(base::Time aNow, const Configuration& aNext)
+{
+  std::erase_if(mClosingZones, [&](const auto& aEntry) { return aNext.zoneIsIn(aEntry.first); });
+  // A process that starts can't tell for how long a zone has been out.
+  const bool isFirst = mDeclared->mRevision == 0;
+  for (const auto& [name, zone] : aNext.mZones) {
+    if (!isFirst && mZoneGrace > base::Duration::zero() && !aNext.zoneIsIn(name) &&
+        mDeclared->zoneIsIn(name)) {
+      mClosingZones[name] = aNow + mZoneGrace;
+    }
+  }
+}
+
+// After a loss of power, as at the first start of all, no flow is older than the processes.
+bool RetainedRoutes::wasFirst(const Configuration& aDeclared) const
+{
+  std::size_t count = 0;
+  for (const auto& [name, service] : aDeclared.mServices) {
+    for (const Upstream& upstream : service.mUpstreams) {
+      if (upstream.mStartedAtMs + kSameStartMs < mStartedAtMs) {
+        return false;
+      }
+      ++count;
+    }
+  }
+  return mStartedAtMs != 0 && count > 0;
+}
+
 ConfigurationPtr RetainedRoutes::apply(base::Time aNow, ConfigurationPtr aDeclared)
 {
+  mFirstApplied = mFirstApplied.value_or(aNow);
   applyServices(aNow, *aDeclared);
   applyAddresses(aNow, *aDeclared);
+  applyZones(aNow, *aDeclared);
   mDeclared = std::move(aDeclared);
+  mIsComplete = mIsComplete || wasFirst(*mDeclared);
+  return combine();
+}
+
+ConfigurationPtr RetainedRoutes::adopt(base::Time aNow, const History& aHistory)
+{
+  for (GoneUpstream gone : aHistory.mUpstreams) {
+    gone.mUpstream.mIdentity = upstreamIdentity(gone.mService, gone.mUpstream.mName);
+    const base::Time since = aNow - std::chrono::milliseconds(gone.mAgeMs);
+    add(since, std::move(gone));
+  }
+  for (const GoneShare& gone : aHistory.mShares) {
+    add(aNow - std::chrono::milliseconds(gone.mAgeMs), gone);
+  }
+  for (const auto& [name, service] : mDeclared->mServices) {
+    forgetListed(service);
+  }
+  forgetShares(*mDeclared);
+  mIsComplete = mIsComplete || aHistory.mIsComplete;
   return combine();
 }
 
 ConfigurationPtr RetainedRoutes::expire(base::Time aNow)
 {
-  const auto isOver = [&](const auto& aGone) { return aNow - aGone.mSince >= mLifetime; };
-  const auto erased = std::erase_if(mUpstreams, isOver) + std::erase_if(mShares, isOver);
-  return erased > 0 ? combine() : nullptr;
+  const auto isOver = [&](const auto& aKept) { return aNow - aKept.mSince >= mLifetime; };
+  const auto erased =
+    std::erase_if(mUpstreams, isOver) + std::erase_if(mShares, isOver) +
+    std::erase_if(mClosingZones, [&](const auto& aEntry) { return aNow >= aEntry.second; });
+  const bool isOld = mFirstApplied && aNow - *mFirstApplied >= mLifetime;
+  const bool becomesComplete = isOld && !mIsComplete;
+  mIsComplete = mIsComplete || isOld;
+  return erased > 0 || becomesComplete ? combine() : nullptr;
+}
+
+History RetainedRoutes::history(base::Time aNow) const
+{
+  History history;
+  history.mIsComplete = mIsComplete;
+  for (const auto& kept : mUpstreams) {
+    history.mUpstreams.push_back(kept.mEntry);
+    history.mUpstreams.back().mAgeMs = millisecondsBetween(kept.mSince, aNow);
+  }
+  for (const auto& kept : mShares) {
+    history.mShares.push_back(kept.mEntry);
+    history.mShares.back().mAgeMs = millisecondsBetween(kept.mSince, aNow);
+  }
+  return history;
 }
 
 ConfigurationPtr RetainedRoutes::combine() const
 {
-  if (size() == 0) {
+  if (mUpstreams.empty() && mShares.empty() && mClosingZones.empty() && !mIsComplete) {
     return mDeclared;
   }
   auto combined = std::make_shared<Configuration>(*mDeclared);
-  for (const GoneUpstream& gone : mUpstreams) {
-    const auto service = combined->mServices.find(gone.mService);
+  combined->mIsHistoryComplete = mIsComplete;
+  for (const auto& [name, until] : mClosingZones) {
+    combined->mZones.at(name).mIsClosing = true;
+  }
+  for (const auto& kept : mUpstreams) {
+    const auto service = combined->mServices.find(kept.mEntry.mService);
     if (service != combined->mServices.end()) {
-      service->second.mUpstreams.push_back(gone.mUpstream);
+      service->second.mUpstreams.push_back(kept.mEntry.mUpstream);
     }
   }
-  for (const GoneShare& gone : mShares) {
-    combined->mAddresses.at(gone.mAddress).mShares.push_back({ gone.mService, 0 });
+  for (const auto& kept : mShares) {
+    combined->mAddresses.at(kept.mEntry.mAddress).mShares.push_back({ kept.mEntry.mService, 0 });
   }
   return combined;
 }
--- a/src/config/retained_routes.hpp
+++ b/src/config/retained_routes.hpp
@@ -2,58 +2,75 @@
 
 #include "base/time.hpp"
 #include "config/configuration.hpp"
+#include "config/history.hpp"
 
-#include <map>
+#include <optional>
 
 namespace cornelcross::config {
 
-/// @brief Keeps for a while what vanished from the documents but may still hold flows: upstreams, as
-/// UpstreamState::kGone, and services behind an address, with weight 0.
+/// @brief Keeps for a while what vanished from the documents but may still hold flows: upstreams,
+/// as UpstreamState::kGone, and services behind an address, with weight 0.
 ///
 /// An upstream is forgotten once its lifetime is over, once it is listed again, or once another one
 /// is listed with its agent or its address; a service behind an address likewise. An address whose
-/// document is deleted takes its flows with it. Deterministic: time comes with each call.
+/// document is deleted takes its flows with it. A zone that is taken out closes for a while before
+/// it is out. Deterministic: time comes with each call.
 class RetainedRoutes
 {
 public:
-  /// @param aLifetime longest time that a flow lasts after its route vanished
-  explicit RetainedRoutes(base::Duration aLifetime) : mLifetime(aLifetime) {}
+  /// @param aLifetime    longest time that a flow lasts after its route vanished
+  /// @param aZoneGrace   time in which established flows of a zone that is taken out may end
+  /// @param aStartedAtMs wall clock of this process's start; 0 if not known
+  RetainedRoutes(base::Duration aLifetime, base::Duration aZoneGrace, std::uint64_t aStartedAtMs)
+    : mLifetime(aLifetime), mZoneGrace(aZoneGrace), mStartedAtMs(aStartedAtMs)
+  {
+  }
 
   /// @brief Takes over what the documents declare. @return what is to be in force
   ConfigurationPtr apply(base::Time aNow, ConfigurationPtr aDeclared);
 
-  /// @brief Forgets what has been kept for its lifetime. @return what is to be in force from now on;
-  /// empty if nothing changed
+  /// @brief Takes over what another process remembers. @return what is to be in force
+  ConfigurationPtr adopt(base::Time aNow, const History& aHistory);
+
+  /// @brief Forgets what has been kept for its lifetime. @return what is to be in force from now
+  /// on; empty if nothing changed
   ConfigurationPtr expire(base::Time aNow);
 
-  /// @brief Upstreams and services behind an address that are kept.
-  std::size_t size() const { return mUpstreams.size() + mShares.size(); }
+  /// @brief What this process remembers.
+  History history(base::Time aNow) const;
 
-private:
-  struct GoneUpstream
-  {
-    std::string mService;
-    Upstream mUpstream;
-    base::Time mSince;
-  };
+  /// @brief True if nothing is missing: this process has run for the lifetime of a flow, was there
+  /// before every upstream, or has heard from one that was.
+  bool isComplete() const { return mIsComplete; }
 
-  struct GoneShare
+private:
+  template<class T>
+  struct Kept
   {
-    flow::Endpoint mAddress;
-    std::string mService;
+    T mEntry;
     base::Time mSince;
   };
 
   void applyServices(base::Time aNow, const Configuration& aNext);
+  void applyZones(base::Time aNow, const Configuration& aNext);
   void applyAddresses(base::Time aNow, const Configuration& aNext);
   void collect(base::Time aNow, const Service& aBefore, const Service* aAfter);
   void forgetListed(const Service& aService);
+  void forgetShares(const Configuration& aNext);
+  bool wasFirst(const Configuration& aDeclared) const;
+  void add(base::Time aSince, GoneUpstream aGone);
+  void add(base::Time aSince, GoneShare aGone);
   ConfigurationPtr combine() const;
 
   base::Duration mLifetime;
+  base::Duration mZoneGrace;
+  std::uint64_t mStartedAtMs;
+  std::optional<base::Time> mFirstApplied;
+  bool mIsComplete = false;
   ConfigurationPtr mDeclared = std::make_shared<const Configuration>();
-  std::vector<GoneUpstream> mUpstreams;
-  std::vector<GoneShare> mShares;
+  std::vector<Kept<GoneUpstream>> mUpstreams;
+  std::vector<Kept<GoneShare>> mShares;
+  std::map<std::string, base::Time> mClosingZones; ///< until when
 };
 
 } // namespace cornelcross::config
--- a/src/membership/decisions.cpp
+++ b/src/membership/decisions.cpp
@@ -8,6 +8,7 @@
 
 constexpr base::Duration kConfirmInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kRejectedInterval = std::chrono::seconds(1);
+constexpr base::Duration kHistoryInterval = std::chrono::seconds(2);
 constexpr unsigned kRejectedTries = 3; // peers asked for an accepted version
 
 std::uint32_t toMilliseconds(base::Duration aAge)
@@ -65,6 +66,7 @@
   }
   confirm(aNow, actions);
   pull(aNow, actions);
+  pullHistory(aNow, actions);
   readService(aNow, actions);
   finishConfirmation(aNow, actions);
   return actions;
@@ -141,6 +143,27 @@
   }
 }
 
+// A process that starts learns from one that has been there what may still hold flows although no
+// document tells of it any more.
+void Decisions::noteHistoryPeer(base::Time aNow, flow::Endpoint aPeer)
+{
+  if (!mHistoryPeer) {
+    // A pull of new documents, which comes first, brings it too.
+    mHistoryAt = aNow + mSettings.mPullJitter + mRandom.between({}, mSettings.mPullJitter);
+  }
+  mHistoryPeer = aPeer;
+}
+
+void Decisions::pullHistory(base::Time aNow, Actions& aActions)
+{
+  if (!mWantsHistory || !mHistoryPeer || mPulls.isInProgress() || aNow < mHistoryAt) {
+    return;
+  }
+  mHistoryAt = aNow + kHistoryInterval;
+  mPulls.begin(*mHistoryPeer);
+  aActions.emplace_back(StartPull{ *mHistoryPeer, { mRevision, mRejected } });
+}
+
 void Decisions::hint(base::Time aNow, flow::Endpoint aPeer, std::uint64_t aRevision)
 {
   if (aRevision > mRevision && aPeer != mSettings.mSelf) {
@@ -168,6 +191,9 @@
     mConfirmation.replied(aHeartbeat.mSender, aRevision, aHeartbeat.mIsConfirmed);
     finishConfirmation(aNow, actions);
   }
+  if (aHeartbeat.mIsReply && aHeartbeat.mIsConfirmed) {
+    noteHistoryPeer(aNow, aHeartbeat.mSender);
+  }
   const bool isBehind = aRevision < mRevision && !aHeartbeat.mIsReply;
   if (aHeartbeat.mWantsReply || isBehind) {
     wire::Heartbeat reply = makeHeartbeat(aNow);
@@ -182,6 +208,7 @@
 {
   Actions actions = observe(aNow);
   mPulls.finished(aNow, aRevision.has_value(), mRevision, mRandom);
+  mHistoryAt = std::max(mHistoryAt, aNow + kHistoryInterval);
   pull(aNow, actions);
   finishConfirmation(aNow, actions);
   return actions;
--- a/src/membership/decisions.hpp
+++ b/src/membership/decisions.hpp
@@ -42,6 +42,9 @@
                 const config::Configuration& aConfiguration,
                 std::vector<std::string> aRejected);
 
+  /// @brief What earlier configurations left behind is known; no peer is asked for it any more.
+  void historyLearned() { mWantsHistory = false; }
+
   /// @brief Notices a pause of this process; called before a packet is decided on.
   Actions observe(base::Time aNow);
 
@@ -64,6 +67,8 @@
   void finishConfirmation(base::Time aNow, Actions& aActions);
   void pull(base::Time aNow, Actions& aActions);
   void readService(base::Time aNow, Actions& aActions);
+  void noteHistoryPeer(base::Time aNow, flow::Endpoint aPeer);
+  void pullHistory(base::Time aNow, Actions& aActions);
   void hint(base::Time aNow, flow::Endpoint aPeer, std::uint64_t aRevision);
 
   Settings mSettings;
@@ -80,6 +85,9 @@
   base::Time mHeartbeatAt;
   base::Time mConfirmAt;
   base::Time mRejectedAt;
+  bool mWantsHistory = true;
+  std::optional<flow::Endpoint> mHistoryPeer; ///< whom to ask for it
+  base::Time mHistoryAt;                      ///< when to ask next
 };
 
 } // namespace cornelcross::membership
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -33,7 +33,7 @@
   , mDecisions(aSettings.mDecisions)
   , mBudget(aSettings.mControlBytesPerSecond, kBudgetBurst)
   , mQueue(mBudget)
-  , mRetained(aSettings.mRetainedLifetime)
+  , mRetained(aSettings.mRetainedLifetime, aSettings.mZoneGrace, aSettings.mStartedAtMs)
   , mService(makeSource(aSource ? aSource : net::configServiceSource(aSettings.mConfigService)))
   , mPullServer(
       aSettings.mListen,
@@ -58,6 +58,9 @@
 
 void Shell::expireRetained(base::Time aNow)
 {
+  if (mRetained.isComplete()) {
+    mDecisions.historyLearned();
+  }
   if (const auto configuration = mRetained.expire(aNow)) {
     mListener(configuration);
   }
@@ -183,6 +186,9 @@
     return;
   }
   merge(reply->mBatch, aPeer.toString());
+  if (!mRetained.isComplete()) {
+    mListener(mRetained.adopt(net::MainLoop::now(), reply->mHistory));
+  }
   perform(mDecisions.onPulled(net::MainLoop::now(), reply->mBatch.mRevision));
 }
 
@@ -193,6 +199,7 @@
   reply.mIsBusy = !request || mBudget.level(net::MainLoop::now()) <= 0;
   if (!reply.mIsBusy) {
     reply.mBatch = mStore.batchAfter(request->mAfter, kMaxPullBytes);
+    reply.mHistory = mRetained.history(net::MainLoop::now());
     for (config::Document& document : mStore.documentsOf(request->mKeys)) {
       reply.mBatch.mDocuments.push_back(std::move(document));
     }
--- a/src/wire/pull.hpp
+++ b/src/wire/pull.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/document_batch.hpp"
+#include "config/history.hpp"
 #include "flow/packet_edit.hpp"
 
 #include <optional>
@@ -28,13 +29,14 @@
 {
   bool mIsBusy = false; ///< nothing was looked up; ask another peer or later
   config::DocumentBatch mBatch;
+  config::History mHistory;
 
   auto operator<=>(const PullReply&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mIsBusy, mBatch);
+    aArchive(mIsBusy, mBatch, mHistory);
   }
 };
 
--- a/tests/unit/test_pull.cpp
+++ b/tests/unit/test_pull.cpp
@@ -7,8 +7,20 @@
 
 namespace {
 
-const wire::PullReply kReply{ false,
-                              { 7, { { "zones", 7, "{}" }, { "service/x", 5, std::nullopt } } } };
+config::GoneUpstream goneUpstream()
+{
+  config::Upstream upstream;
+  upstream.mName = "x-1";
+  upstream.mAgent = *flow::Endpoint::parse("192.0.2.1:7000");
+  upstream.mZone = "a";
+  return { "x", upstream, 1500 };
+}
+
+const wire::PullReply kReply{
+  false,
+  { 7, { { "zones", 7, "{}" }, { "service/x", 5, std::nullopt } } },
+  { true, { goneUpstream() }, { { *flow::Endpoint::parse("198.51.100.1:80"), "y", 20 } } }
+};
 
 } // namespace
 
