Send no copy of a copy, bound a SYN's hops, leave a silent pair of ports, keep repeated documents quiet

Ruled out: the pull deadline alone (lag 4.5 s with 400 ms instead of 3 s).

Change: Forward marks copies and counts hops of SYNs; a document that repeats the accepted text is not passed on; probes of a suspect try all pairs of two source ports on either side, and only answers count as signs of life. The test of shared services used the same text as a change; it uses a changed one now.

--- a/src/agent/actions.cpp
+++ b/src/agent/actions.cpp
@@ -21,6 +21,8 @@
       return "not_owned";
     case DropReason::kNoRecord:
       return "no_record";
+    case DropReason::kTooManyHops:
+      return "too_many_hops";
   }
   return "unknown";
 }
--- a/src/agent/actions.hpp
+++ b/src/agent/actions.hpp
@@ -20,13 +20,14 @@
   kHeldAlready,    ///< retransmission of a packet that waits for room
   kNotOwned,       ///< the upstream's RST for a flow that it was only asked about
   kNoRecord,       ///< a SYN-ACK of the upstream for a flow without a record
+  kTooManyHops,    ///< a SYN that agents of different configurations handed to each other
 };
 
 /// @brief Every reason, in the order of the enumeration.
 inline constexpr std::array kDropReasons = {
   DropReason::kMalformed, DropReason::kNotConfigured, DropReason::kForeignService,
   DropReason::kZoneOut,   DropReason::kNoOwner,       DropReason::kHeldAlready,
-  DropReason::kNotOwned,  DropReason::kNoRecord,
+  DropReason::kNotOwned,  DropReason::kNoRecord,      DropReason::kTooManyHops,
 };
 
 /// @brief Name of the reason in logs and metrics.
--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -82,6 +82,7 @@
     copy.mCandidates = { suspect };
     copy.mPosition = 0;
     copy.mIsComplete = true;
+    copy.mIsCopy = true;
     aActions.emplace_back(SendMessage{ suspect, std::move(copy) });
   }
 }
@@ -89,7 +90,8 @@
 // The balancer may have started after a service or an upstream vanished that still holds the flow.
 bool Chain::addUnasked(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
 {
-  if (aPacket.opensFlow() || !mConfiguration || aForward.mChunk > 0) {
+  const bool isInLine = !aForward.mIsCopy && aForward.mInquiry == wire::Inquiry::kNone;
+  if (aPacket.opensFlow() || !isInLine || !mConfiguration || aForward.mChunk > 0) {
     return false;
   }
   bool isAdded = false;
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -19,6 +19,10 @@
 /// a millisecond, in which far fewer arrive.
 constexpr std::size_t kReturnable = 1024;
 
+/// Agents that a new flow may visit: twice as many as it may ask. Agents whose configurations
+/// differ could hand it to each other without end.
+constexpr std::uint8_t kMaxOpeningHops = 128;
+
 /// True if the acknowledgement is for data that this upstream has sent. Of an adopted flow the
 /// agent may have seen an old segment only, sent again, of which the caller has long had what
 /// follows.
@@ -157,6 +161,9 @@
   if (!packet) {
     return { DropPacket{ DropReason::kMalformed } };
   }
+  if (packet->opensFlow() && ++aForward.mHops > kMaxOpeningHops) {
+    return { DropPacket{ DropReason::kTooManyHops } };
+  }
   if (!mUpstream) {
     return passUnserved(aNow, *packet, std::move(aForward), DropReason::kNotConfigured);
   }
@@ -197,6 +204,8 @@
     return { DropPacket{ aReason } };
   }
   aForward.mIsUnanimous = false;
+  // The best of those asked before may have been this agent.
+  aForward.mWalk = {};
   return mChain.pass(aNow, aPacket, std::move(aForward));
 }
 
--- a/src/agent/flow_expiry.cpp
+++ b/src/agent/flow_expiry.cpp
@@ -72,7 +72,7 @@
 {
   Actions actions;
   for (const flow::Endpoint peer : mPeers.takeProbes(aNow)) {
-    actions.emplace_back(SendMessage{ peer, wire::Probe{ ++mNonce } });
+    actions.emplace_back(SendMessage{ peer, wire::Probe{ ++mNonce, mPeers.attempts(peer) } });
   }
   return actions;
 }
--- a/src/agent/returnable_packets.cpp
+++ b/src/agent/returnable_packets.cpp
@@ -16,6 +16,8 @@
   kept.mChunk = aForward.mChunk;
   kept.mIsComplete = aForward.mIsComplete;
   kept.mIsUnanimous = aForward.mIsUnanimous;
+  kept.mIsCopy = aForward.mIsCopy;
+  kept.mHops = aForward.mHops;
   kept.mWalk = aForward.mWalk;
   kept.mInquiry = aForward.mInquiry;
   kept.mUnsure = aForward.mUnsure;
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -72,6 +72,9 @@
   mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
     onDatagram(aDatagram, aFrom);
   });
+  mSocket.setSparePort(
+    { mSettings.mListen.mAddress, mSettings.mSparePort },
+    [this](flow::Endpoint aTo) { return mDecisions.peers().usesSparePort(aTo); });
   if (mUpstreamSocket) {
     mUpstreamSocket->onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
       onUpstreamDatagram(aDatagram, aFrom);
@@ -175,8 +178,11 @@
   }
   auto& frame = std::get<wire::Frame>(decoded);
   mMembership.onFrame(aFrom, frame, aDatagram.size());
-  mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
+  if (std::holds_alternative<wire::ProbeReply>(frame.mMessage)) {
+    mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
+  }
   if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
+    mDecisions.peers().noteProbed(net::MainLoop::now(), aFrom, probe->mAttempt);
     SendMessage reply{ aFrom, wire::ProbeReply{ probe->mNonce } };
     perform(reply);
   }
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -20,9 +20,10 @@
   AgentSettings mAgent;   ///< settings of the decisions
   flow::Endpoint mListen; ///< datagrams from balancers, agents and the upstream
   std::optional<flow::Endpoint> mUpstreamListen; ///< datagrams from the upstream alone
-  flow::Endpoint mAdmin;                         ///< HTTP for metrics, status and health
-  flow::Endpoint mFabric;                        ///< where IP packets for callers are sent
-  std::string mName;                             ///< name in logs
+  std::uint16_t mSparePort = 0; ///< second source port towards other agents; 0 for any
+  flow::Endpoint mAdmin;        ///< HTTP for metrics, status and health
+  flow::Endpoint mFabric;       ///< where IP packets for callers are sent
+  std::string mName;            ///< name in logs
   membership::ShellSettings mMembership;
   std::uint32_t mDrainSeconds = 0; ///< how long a stopping agent waits for requests in progress
   bool mLogFlows = false;          ///< log an event for each flow
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -63,6 +63,9 @@
   mSocket.onDatagram([this](std::span<const std::byte> aDatagram, flow::Endpoint aFrom) {
     onDatagram(aDatagram, aFrom);
   });
+  mSocket.setSparePort(
+    { mSettings.mListen.mAddress, mSettings.mSparePort },
+    [this](flow::Endpoint aTo) { return mDecisions.peers().usesSparePort(aTo); });
   mLoop.every(kProbeTick, [this] { probePeers(); });
   mLoop.onTerminate([this] { onTerminate(); });
   mLog.write({ telemetry::EventKind::kProcessStarted,
@@ -93,11 +96,14 @@
   }
   const auto& frame = std::get<wire::Frame>(decoded);
   mMembership.onFrame(aFrom, frame, aDatagram.size());
-  mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
+  if (std::holds_alternative<wire::ProbeReply>(frame.mMessage)) {
+    mDecisions.peers().noteAlive(net::MainLoop::now(), aFrom);
+  }
   if (const auto* notice = std::get_if<wire::OwnerNotice>(&frame.mMessage)) {
     mDecisions.learn(net::MainLoop::now(), *notice);
   }
   if (const auto* probe = std::get_if<wire::Probe>(&frame.mMessage)) {
+    mDecisions.peers().noteProbed(net::MainLoop::now(), aFrom, probe->mAttempt);
     mMembership.send(aFrom, wire::ProbeReply{ probe->mNonce });
   }
 }
@@ -113,7 +119,7 @@
 void Shell::probePeers()
 {
   for (const flow::Endpoint peer : mDecisions.peers().takeProbes(net::MainLoop::now())) {
-    mMembership.send(peer, wire::Probe{ ++mNonce });
+    mMembership.send(peer, wire::Probe{ ++mNonce, mDecisions.peers().attempts(peer) });
   }
 }
 
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -17,6 +17,7 @@
 struct BalancerSettings
 {
   flow::Endpoint mListen;                ///< IP in UDP from the fabric, messages from agents
+  std::uint16_t mSparePort = 0;          ///< second source port towards agents; 0 for any
   flow::Endpoint mAdvertise;             ///< where agents reach this balancer
   flow::Endpoint mAdmin;                 ///< HTTP for metrics, status and health
   membership::ShellSettings mMembership; ///< configuration service, peers and control budget
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -4,6 +4,13 @@
 
 namespace cornelcross::membership {
 
+namespace {
+
+/// Pairs of source ports that two processes may use with each other.
+constexpr std::uint32_t kPortPairs = 4;
+
+} // namespace
+
 FailureDetector::FailureDetector(const FailureDetectorSettings& aSettings) : mSettings(aSettings) {}
 
 void FailureDetector::noteUse(base::Time aNow, flow::Endpoint aPeer)
@@ -38,6 +45,37 @@
   return found != mPeers.end() && found->second.mIsSuspected;
 }
 
+bool FailureDetector::usesSparePort(flow::Endpoint aPeer) const
+{
+  if (!mHasChangedPort) {
+    return false;
+  }
+  const auto found = mPeers.find(aPeer);
+  return found != mPeers.end() && found->second.mUsesSparePort;
+}
+
+// The prober changes its port with each attempt, so that a change with every other one here leads
+// to all four pairs.
+void FailureDetector::noteProbed(base::Time aNow, flow::Endpoint aPeer, std::uint32_t aAttempt)
+{
+  if (aAttempt <= mSettings.mMaxMisses) {
+    return;
+  }
+  const auto [found, isNew] = mPeers.try_emplace(aPeer);
+  if (isNew) {
+    found->second.mLastHeard = aNow;
+  }
+  const bool usesSpare = (aAttempt / 2) % 2 == 1;
+  found->second.mUsesSparePort = usesSpare;
+  mHasChangedPort = mHasChangedPort || usesSpare;
+}
+
+std::uint32_t FailureDetector::attempts(flow::Endpoint aPeer) const
+{
+  const auto found = mPeers.find(aPeer);
+  return found == mPeers.end() ? 0 : found->second.mOpenProbes;
+}
+
 bool FailureDetector::isDead(base::Time aNow, flow::Endpoint aPeer) const
 {
   return isSuspected(aPeer) &&
@@ -65,8 +103,9 @@
   if (!isUsed || aNow - aPeer.mLastHeard < mSettings.mSilence) {
     return false;
   }
+  const bool hasTriedPorts = aPeer.mOpenProbes > mSettings.mMaxMisses + kPortPairs;
   const base::Duration interval =
-    aPeer.mIsSuspected ? mSettings.mSuspectInterval : mSettings.mProbeTimeout;
+    aPeer.mIsSuspected && hasTriedPorts ? mSettings.mSuspectInterval : mSettings.mProbeTimeout;
   return aPeer.mOpenProbes == 0 || aNow - aPeer.mLastProbe >= interval;
 }
 
@@ -98,6 +137,10 @@
     aPeer.mSuspectedSince = aNow;
     ++mSuspects;
   }
+  if (aPeer.mIsSuspected) {
+    aPeer.mUsesSparePort = !aPeer.mUsesSparePort;
+    mHasChangedPort = true;
+  }
   ++aPeer.mOpenProbes;
   aPeer.mLastProbe = aNow;
 }
--- a/src/membership/failure_detector.hpp
+++ b/src/membership/failure_detector.hpp
@@ -23,7 +23,8 @@
   /// @brief A packet goes to aPeer, or would go there if it weren't suspected.
   void noteUse(base::Time aNow, flow::Endpoint aPeer);
 
-  /// @brief Something was received from aPeer.
+  /// @brief aPeer answered something that was sent to it. What it sends on its own proves nothing
+  /// of the way there.
   void noteAlive(base::Time aNow, flow::Endpoint aPeer);
 
   /// @brief True if aPeer has left its last probes unanswered.
@@ -32,6 +33,18 @@
   /// @brief True if aPeer has been suspected for longer than the setting.
   bool isDead(base::Time aNow, flow::Endpoint aPeer) const;
 
+  /// @brief True if datagrams to aPeer are to leave from the other one of two source ports. It
+  /// changes with each probe of a suspect, as something in between may have lost track of a pair of
+  /// ports for good, and stays with the one that was answered.
+  bool usesSparePort(flow::Endpoint aPeer) const;
+
+  /// @brief aPeer sent a probe, its aAttempt-th since it had an answer: after some of them the
+  /// answers are to take the other port.
+  void noteProbed(base::Time aNow, flow::Endpoint aPeer, std::uint32_t aAttempt);
+
+  /// @brief Probes of aPeer since its last answer.
+  std::uint32_t attempts(flow::Endpoint aPeer) const;
+
   /// @brief Moves the suspects from index aFrom on behind the others; those that were heard of last
   /// come first among them.
   /// @return number of suspects
@@ -57,6 +70,7 @@
     base::Time mSuspectedSince;
     std::uint32_t mOpenProbes = 0; ///< since the last sign of life
     bool mIsSuspected = false;
+    bool mUsesSparePort = false;
   };
 
   bool isDue(base::Time aNow, const Peer& aPeer) const;
@@ -67,6 +81,7 @@
   FailureDetectorSettings mSettings;
   std::unordered_map<flow::Endpoint, Peer, flow::EndpointHash> mPeers;
   std::size_t mSuspects = 0;
+  bool mHasChangedPort = false; ///< of any peer so far
   std::uint64_t mProbes = 0;
   std::optional<base::Time> mLastRun;
   base::Time mBudgetSince;
--- a/src/membership/pull_schedule.cpp
+++ b/src/membership/pull_schedule.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr std::size_t kMaxAhead = 16; // peers
-constexpr base::Duration kMinBackoff = std::chrono::milliseconds(100);
-constexpr base::Duration kMaxBackoff = std::chrono::seconds(5);
 constexpr double kRetriesPerSecond = 2;
 constexpr double kRetryBurst = 5;
 
@@ -17,7 +15,7 @@
 
 PullSchedule::PullSchedule(const Settings& aSettings)
   : mSettings(aSettings)
-  , mBackoff(kMinBackoff, kMaxBackoff)
+  , mBackoff(aSettings.mPullMinBackoff, aSettings.mPullMaxBackoff)
   , mRetries(kRetriesPerSecond, kRetryBurst)
 {
 }
@@ -70,7 +68,7 @@
     if (mInProgress) {
       mAhead.erase(*mInProgress);
     }
-    mNotBefore = aNow + (mRetries.take(aNow) ? mBackoff.next(aRandom) : kMaxBackoff);
+    mNotBefore = aNow + (mRetries.take(aNow) ? mBackoff.next(aRandom) : mSettings.mPullMaxBackoff);
   }
   mInProgress.reset();
   mNextAt = mAhead.empty() ? std::nullopt : std::optional<base::Time>(mNotBefore);
--- a/src/membership/settings.hpp
+++ b/src/membership/settings.hpp
@@ -22,6 +22,9 @@
   std::size_t mAnnouncePeers = 4;  ///< peers that are told at once of a new revision
   std::size_t mConfirmPeers = 3;   ///< peers that are asked before forwarding
   base::Duration mPullJitter = std::chrono::milliseconds(200);
+  base::Duration mPullDeadline = std::chrono::seconds(3);          ///< for one pull as a whole
+  base::Duration mPullMinBackoff = std::chrono::milliseconds(100); ///< after a failed pull
+  base::Duration mPullMaxBackoff = std::chrono::seconds(5);
   base::Duration mPeerReplyTimeout = std::chrono::seconds(1);
   base::Duration mConfirmTimeout = std::chrono::seconds(5); ///< then it acts anyway
   base::Duration mPauseGap = std::chrono::seconds(2);       ///< a clock gap that counts as a pause
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -35,6 +35,7 @@
   , mQueue(mBudget)
   , mRetained(aSettings.mRetainedLifetime, aSettings.mZoneGrace, aSettings.mStartedAtMs)
   , mService(makeSource(aSource ? aSource : net::configServiceSource(aSettings.mConfigService)))
+  , mPullClient(aSettings.mDecisions.mPullDeadline)
   , mPullServer(
       aSettings.mListen,
       [this](std::span<const std::byte> aRequest) { return answerPull(aRequest); },
--- a/src/net/pull_client.cpp
+++ b/src/net/pull_client.cpp
@@ -2,12 +2,6 @@
 
 namespace cornelcross::net {
 
-namespace {
-
-constexpr guint kDeadlineMilliseconds = 3000;
-
-} // namespace
-
 struct PullClient::Exchange
 {
   ~Exchange()
@@ -43,8 +37,9 @@
   mExchange = std::make_shared<Exchange>();
   mExchange->mRequest = std::move(aRequest);
   mExchange->mListener = std::move(aListener);
+  const auto deadline = std::chrono::duration_cast<std::chrono::milliseconds>(mDeadline);
   mExchange->mTimer =
-    g_timeout_add(kDeadlineMilliseconds, &PullClient::onDeadline, mExchange.get());
+    g_timeout_add(static_cast<guint>(deadline.count()), &PullClient::onDeadline, mExchange.get());
   GSocketClient* client = g_socket_client_new();
   g_socket_client_set_enable_proxy(client, FALSE);
   GSocketAddress* address =
--- a/src/net/pull_client.hpp
+++ b/src/net/pull_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.hpp"
 #include "flow/endpoint.hpp"
 #include "net/stream_message.hpp"
 
@@ -16,7 +17,8 @@
   /// @brief Called with the reply; empty on any error or after the deadline.
   using Listener = std::function<void(std::optional<ReceivedMessage>)>;
 
-  PullClient() = default;
+  /// @param aDeadline for one question as a whole; whole milliseconds
+  explicit PullClient(base::Duration aDeadline) : mDeadline(aDeadline) {}
   ~PullClient();
   PullClient(const PullClient&) = delete;
   PullClient& operator=(const PullClient&) = delete;
@@ -32,6 +34,7 @@
   static void finish(const std::shared_ptr<Exchange>& aExchange,
                      std::optional<ReceivedMessage> aReply);
 
+  base::Duration mDeadline;
   std::shared_ptr<Exchange> mExchange;
 };
 
--- a/src/net/udp_socket.cpp
+++ b/src/net/udp_socket.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 UdpSocket::UdpSocket(flow::Endpoint aLocal, std::size_t aMaxDatagram)
-  : mBuffers(kBatch, flow::Bytes(aMaxDatagram))
+  : mMaxDatagram(aMaxDatagram), mBuffers(kBatch, flow::Bytes(aMaxDatagram))
 {
   GError* error = nullptr;
   mSocket =
@@ -127,8 +127,36 @@
   return mAddresses.emplace(aEndpoint, makeAddress(aEndpoint)).first->second;
 }
 
+void UdpSocket::setSparePort(flow::Endpoint aSpare, std::function<bool(flow::Endpoint)> aUsesSpare)
+{
+  mSpareLocal = aSpare;
+  mUsesSpare = std::move(aUsesSpare);
+}
+
+// Empty if the port can't be had: the datagram then leaves from the first one, as it always did.
+UdpSocket* UdpSocket::openSpare()
+{
+  if (!mSpare) {
+    try {
+      mSpare = std::make_unique<UdpSocket>(mSpareLocal, mMaxDatagram);
+    } catch (const std::runtime_error&) {
+      ++mCounts.mSendFailures;
+      return nullptr;
+    }
+    mSpare->onDatagram(mReceiver);
+    mSpare->onBatchEnd([this] { flush(); });
+  }
+  return mSpare.get();
+}
+
 void UdpSocket::queue(flow::Endpoint aTo, flow::Bytes aBytes)
 {
+  if (mUsesSpare && mUsesSpare(aTo)) {
+    if (UdpSocket* spare = openSpare()) {
+      spare->queue(aTo, std::move(aBytes));
+      return;
+    }
+  }
   if (mOutgoing.size() >= kMaxQueued) {
     flush();
   }
@@ -138,6 +166,12 @@
 
 void UdpSocket::flush()
 {
+  if (mSpare) {
+    mSpare->flush();
+  }
+  if (mOutgoing.empty()) {
+    return;
+  }
   std::vector<GOutputVector> vectors(mOutgoing.size());
   std::vector<GOutputMessage> messages(mOutgoing.size());
   for (std::size_t i = 0; i < mOutgoing.size(); ++i) {
--- a/src/net/udp_socket.hpp
+++ b/src/net/udp_socket.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <gio/gio.h>
+#include <memory>
 #include <unordered_map>
 
 namespace cornelcross::net {
@@ -29,6 +30,10 @@
   /// @brief Calls aReceiver for each datagram from the main loop; flushes after each batch.
   void onDatagram(Receiver aReceiver);
 
+  /// @brief Sends datagrams for which aUsesSpare holds from a second port, on which datagrams are
+  /// received as well. @param aSpare opened when it is first used; port 0 stands for any
+  void setSparePort(flow::Endpoint aSpare, std::function<bool(flow::Endpoint)> aUsesSpare);
+
   /// @brief Calls aHook after each batch that was received.
   void onBatchEnd(std::function<void()> aHook) { mBatchEnd = std::move(aHook); }
 
@@ -53,12 +58,17 @@
 
   static gboolean dispatch(GSocket* aSocket, GIOCondition aCondition, gpointer aSelf);
   void receiveBatch();
+  UdpSocket* openSpare();
   GSocketAddress* addressOf(flow::Endpoint aEndpoint);
 
   GSocket* mSocket = nullptr;
   GSource* mSource = nullptr;
   Receiver mReceiver;
   std::function<void()> mBatchEnd;
+  std::size_t mMaxDatagram;
+  flow::Endpoint mSpareLocal;
+  std::function<bool(flow::Endpoint)> mUsesSpare;
+  std::unique_ptr<UdpSocket> mSpare;
   std::vector<flow::Bytes> mBuffers;
   std::vector<Outgoing> mOutgoing;
   std::unordered_map<flow::Endpoint, GSocketAddress*, flow::EndpointHash> mAddresses;
--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -15,6 +15,8 @@
   std::uint16_t mChunk = 0;                ///< index of these candidates among all the service's
   bool mIsComplete = false;                ///< no chunk of candidates follows this one
   bool mIsUnanimous = true;                ///< every candidate asked so far denied the flow
+  bool mIsCopy = false;                    ///< for a suspect alone; the chain goes on without it
+  std::uint8_t mHops = 0;                  ///< agents that were handed it; for a SYN only
   Walk mWalk;                              ///< where the flow may open; for a SYN only
   Inquiry mInquiry = Inquiry::kNone;       ///< why the receiver gets the packet
   std::vector<flow::Endpoint> mUnsure;     ///< asked agents whose upstream may own the flow
@@ -32,6 +34,8 @@
              mChunk,
              mIsComplete,
              mIsUnanimous,
+             mIsCopy,
+             mHops,
              mWalk,
              mInquiry,
              mUnsure,
--- a/src/wire/probe.hpp
+++ b/src/wire/probe.hpp
@@ -8,14 +8,15 @@
 /// @brief Asks a process for a sign of life and the revision that it has in force.
 struct Probe
 {
-  std::uint64_t mNonce = 0; ///< repeated in the answer
+  std::uint64_t mNonce = 0;   ///< repeated in the answer
+  std::uint32_t mAttempt = 1; ///< probes since the last answer, this one included
 
   auto operator<=>(const Probe&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mNonce);
+    aArchive(mNonce, mAttempt);
   }
 };
 
--- a/tests/unit/test_document_store.cpp
+++ b/tests/unit/test_document_store.cpp
@@ -13,6 +13,9 @@
 const std::string kOtherService = R"({"address": "198.51.100.2:80", "upstreams": [{"name": "u",
   "agent": "127.0.0.2:1", "address": "127.0.0.2:2", "zone": "a", "slots": 1, "state": "serving"}]})";
 
+const std::string kOtherLeaving = R"({"address": "198.51.100.2:80", "upstreams": [{"name": "u",
+  "agent": "127.0.0.2:1", "address": "127.0.0.2:2", "zone": "a", "slots": 1, "state": "leaving"}]})";
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(document_store)
@@ -66,12 +69,31 @@
   config::DocumentStore store;
   store.merge(2, { { "service/x", 1, kService }, { "service/y", 2, kOtherService } });
   const auto before = store.configuration();
-  store.merge(3, { { "service/y", 3, kOtherService } });
+  store.merge(3, { { "service/y", 3, kOtherLeaving } });
   const auto after = store.configuration();
   BOOST_TEST(after->mServices.at("x").mUpstreams.sharesWith(before->mServices.at("x").mUpstreams));
   BOOST_TEST(!after->mServices.at("y").mUpstreams.sharesWith(before->mServices.at("y").mUpstreams));
 }
 
+BOOST_AUTO_TEST_CASE(a_document_that_repeats_the_accepted_text_is_not_passed_on)
+{
+  config::DocumentStore store;
+  store.merge(1, { { "service/x", 1, kService } });
+  store.merge(9, { { "service/x", 9, kService } });
+  BOOST_TEST(store.documentsAfter(1).empty());
+  BOOST_TEST(store.revision() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(a_document_between_two_revisions_of_the_same_text_is_old)
+{
+  config::DocumentStore store;
+  store.merge(1, { { "service/y", 1, kOtherService } });
+  store.merge(9, { { "service/y", 9, kOtherService } });
+  store.merge(9, { { "service/y", 5, kOtherLeaving } });
+  const auto& upstream = store.configuration()->mServices.at("y").mUpstreams[0];
+  BOOST_TEST((upstream.mState == config::UpstreamState::kServing));
+}
+
 BOOST_AUTO_TEST_CASE(a_copy_of_a_service_that_is_changed_leaves_the_original_alone)
 {
   config::DocumentStore store;
