--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -45,7 +45,7 @@
       [this](config::ConfigurationPtr aConfiguration) {
         onConfiguration(std::move(aConfiguration));
       },
-      mSurroundings.mSource)
+      mSurroundings)
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -33,7 +33,7 @@
       [this](config::ConfigurationPtr aConfiguration) {
         onConfiguration(std::move(aConfiguration));
       },
-      mSurroundings.mSource)
+      mSurroundings)
   , mAdmin(
       aSettings.mAdmin,
       mMetrics,
--- a/src/membership/decisions.hpp
+++ b/src/membership/decisions.hpp
@@ -42,6 +42,9 @@
                 const config::Configuration& aConfiguration,
                 std::vector<std::string> aRejected);
 
+  /// @brief The processes that may be asked have changed.
+  void takeSeeds(std::vector<flow::Endpoint> aSeeds) { mPeers.takeSeeds(std::move(aSeeds)); }
+
   /// @brief What earlier configurations left behind is known; no peer is asked for it any more.
   void historyLearned() { mWantsHistory = false; }
 
--- a/src/membership/peer_set.cpp
+++ b/src/membership/peer_set.cpp
@@ -65,6 +65,12 @@
   }
 }
 
+void PeerSet::takeSeeds(std::vector<flow::Endpoint> aSeeds)
+{
+  mSeeds = std::move(aSeeds);
+  std::erase(mSeeds, mSelf);
+}
+
 void PeerSet::heard(base::Time aNow, flow::Endpoint aPeer)
 {
   if (aPeer == mSelf || aPeer.mPort == 0) {
--- a/src/membership/peer_set.hpp
+++ b/src/membership/peer_set.hpp
@@ -19,6 +19,9 @@
   /// configuration lists this process. @note O(n) in the upstreams
   void apply(const config::Configuration& aConfiguration, const std::string& aZone);
 
+  /// @brief Replaces the seeds.
+  void takeSeeds(std::vector<flow::Endpoint> aSeeds);
+
   /// @brief Notes that a process was heard.
   void heard(base::Time aNow, flow::Endpoint aPeer);
 
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -12,6 +12,7 @@
 using telemetry::EventKind;
 
 constexpr base::Duration kTick = std::chrono::milliseconds(100);
+constexpr base::Duration kSettingsInterval = std::chrono::seconds(2); // between looks at the file
 constexpr base::Duration kBudgetBurst = std::chrono::seconds(5);
 constexpr std::size_t kMaxPullBytes = 256 * 1024; // text of documents in one reply
 constexpr std::size_t kStreamOverhead = 400;      // bytes: TCP and IP headers of a short connection
@@ -24,7 +25,7 @@
              telemetry::Metrics& aMetrics,
              Sender aSender,
              Listener aListener,
-             const net::DocumentSourceFactory& aSource)
+             const net::Surroundings& aSurroundings)
   : mSettings(aSettings)
   , mLog(aLog)
   , mMetrics(aMetrics)
@@ -34,7 +35,9 @@
   , mBudget(aSettings.mControlBytesPerSecond, kBudgetBurst)
   , mQueue(mBudget)
   , mRetained(aSettings.mRetainedLifetime, aSettings.mZoneGrace, aSettings.mStartedAtMs)
-  , mService(makeSource(aSource ? aSource : net::configServiceSource(aSettings.mConfigService)))
+  , mService(makeSource(aSurroundings.mSource ? aSurroundings.mSource
+                                              : net::configServiceSource(aSettings.mConfigService)))
+  , mReadSettings(aSurroundings.mReadSettings)
   , mPullClient(aSettings.mDecisions.mPullDeadline)
   , mPullServer(
       aSettings.mListen,
@@ -67,8 +70,25 @@
   }
 }
 
+void Shell::readSettings()
+{
+  const net::SettingsChange change = mReadSettings();
+  if (const auto* fault = std::get_if<net::SettingsFault>(&change)) {
+    mLog.write({ EventKind::kSettingsRejected, { { "error", fault->mReason } } });
+  } else if (const auto* update = std::get_if<net::SettingsUpdate>(&change)) {
+    mDecisions.takeSeeds(update->mSeeds);
+    mLog.write({ EventKind::kSettingsApplied,
+                 { { "peers", std::to_string(update->mSeeds.size()) },
+                   { "needs_restart", update->mNeedsRestart ? "yes" : "no" } } });
+  }
+}
+
 void Shell::start(net::MainLoop& aLoop)
 {
+  if (mReadSettings) {
+    aLoop.onHangup([this] { readSettings(); });
+    aLoop.every(kSettingsInterval, [this] { readSettings(); });
+  }
   aLoop.every(kTick, [this] {
     const base::Time now = net::MainLoop::now();
     perform(mDecisions.onTick(now));
--- a/src/membership/shell.hpp
+++ b/src/membership/shell.hpp
@@ -4,10 +4,10 @@
 #include "config/retained_routes.hpp"
 #include "membership/control_queue.hpp"
 #include "membership/decisions.hpp"
-#include "net/document_source.hpp"
 #include "net/main_loop.hpp"
 #include "net/pull_client.hpp"
 #include "net/pull_server.hpp"
+#include "net/surroundings.hpp"
 #include "telemetry/event_log.hpp"
 #include "telemetry/metrics.hpp"
 
@@ -46,7 +46,7 @@
         telemetry::Metrics& aMetrics,
         Sender aSender,
         Listener aListener,
-        const net::DocumentSourceFactory& aSource = {});
+        const net::Surroundings& aSurroundings = {});
 
   /// @brief Starts reading, pulling and telling; aLoop must live longer.
   void start(net::MainLoop& aLoop);
@@ -74,6 +74,7 @@
   void perform(const ReadService& aAction);
   void perform(const telemetry::Event& aEvent);
   void sendAll(std::vector<ControlDatagram> aDatagrams);
+  void readSettings();
   void expireRetained(base::Time aNow);
   net::DocumentSource makeSource(const net::DocumentSourceFactory& aFactory);
   void onServiceResult(const net::ConfigResult& aResult);
@@ -93,6 +94,7 @@
   ControlQueue mQueue;
   config::RetainedRoutes mRetained;
   net::DocumentSource mService;
+  std::function<net::SettingsChange()> mReadSettings;
   net::PullClient mPullClient;
   net::PullServer mPullServer;
 };
--- a/src/net/main_loop.cpp
+++ b/src/net/main_loop.cpp
@@ -78,6 +78,12 @@
   }
 }
 
+void MainLoop::onHangup(const std::function<void()>& aCallback)
+{
+  g_unix_signal_add_full(
+    G_PRIORITY_HIGH, SIGHUP, &callAndKeep, new Callback(aCallback), &destroyCallback);
+}
+
 base::Time MainLoop::now()
 {
   // Unlike the steady clock, this one goes on while the machine is suspended, which is a pause of
--- a/src/net/main_loop.hpp
+++ b/src/net/main_loop.hpp
@@ -33,6 +33,9 @@
   /// @brief Calls aCallback on each SIGTERM or SIGINT.
   void onTerminate(const std::function<void()>& aCallback);
 
+  /// @brief Calls aCallback on each SIGHUP.
+  void onHangup(const std::function<void()>& aCallback);
+
   /// @brief Monotonic time now.
   static base::Time now();
 
--- /dev/null
+++ b/src/net/settings_change.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "flow/endpoint.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cornelcross::net {
+
+/// @brief The settings are as they were.
+struct SettingsUnchanged
+{
+  auto operator<=>(const SettingsUnchanged&) const = default;
+};
+
+/// @brief What a running process takes over from changed settings; all else needs a restart.
+struct SettingsUpdate
+{
+  std::vector<flow::Endpoint> mSeeds;
+  bool mNeedsRestart = false; ///< something else has changed too
+
+  auto operator<=>(const SettingsUpdate&) const = default;
+};
+
+/// @brief The changed settings are faulty; those in force stay.
+struct SettingsFault
+{
+  std::string mReason;
+
+  auto operator<=>(const SettingsFault&) const = default;
+};
+
+/// @brief Outcome of reading the settings again.
+using SettingsChange = std::variant<SettingsUnchanged, SettingsUpdate, SettingsFault>;
+
+} // namespace cornelcross::net
--- a/src/net/surroundings.hpp
+++ b/src/net/surroundings.hpp
@@ -2,6 +2,7 @@
 
 #include "flow/packet_format.hpp"
 #include "net/document_source.hpp"
+#include "net/settings_change.hpp"
 #include "net/udp_socket.hpp"
 #include "wire/forward.hpp"
 
@@ -35,6 +36,9 @@
   /// Empty stands for the configuration service of the settings.
   DocumentSourceFactory mSource;
 
+  /// Reads the settings again, on SIGHUP and every few seconds. Empty if they can't change.
+  std::function<SettingsChange()> mReadSettings;
+
   /// Besides /healthz.
   std::optional<HealthPage> mHealthPage;
 };
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -33,6 +33,10 @@
       return "flow_adopted";
     case EventKind::kPacketDropped:
       return "packet_dropped";
+    case EventKind::kSettingsApplied:
+      return "settings_applied";
+    case EventKind::kSettingsRejected:
+      return "settings_rejected";
   }
   return "unknown";
 }
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -24,6 +24,8 @@
   kFlowRefused,
   kFlowAdopted,
   kPacketDropped,
+  kSettingsApplied,
+  kSettingsRejected,
 };
 
 /// @brief Name of the event in a log line.
