Bound the log and never wait for its reader; sample flows; test what was built

A process logs at most 200 lines of single flows a second, openings before refusals, tells how many it left out, and loses a line rather than wait for standard output.

Tests: the platform's packets, settings, store items and catalog (with properties), retained routes, returned packets, shares of an address, stated cold starts, the budget and a reader that stops reading. A conflict that the same merge resolves is no longer reported as rejected (found by the test of an address that is used again).

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -30,6 +30,7 @@
               30,
               "[Limits] seconds that a stopping agent waits for requests in progress");
 DEFINE_bool(log_flows, false, "[Logs] log an event for each flow that opens or closes");
+DEFINE_uint32(flow_sample, 0, "[Logs] log the events of one flow in so many; 0 for none");
 
 namespace {
 
@@ -67,7 +68,10 @@
   settings.mFabric = check.endpoint("fabric", FLAGS_fabric);
   settings.mName = FLAGS_name;
   settings.mDrainSeconds = FLAGS_drain_seconds;
-  settings.mLogFlows = FLAGS_log_flows;
+  settings.mFlowSample = FLAGS_log_flows ? 1 : FLAGS_flow_sample;
+  if (FLAGS_log_flows) {
+    settings.mLogLines = UINT32_MAX; // each flow, as was asked for
+  }
   check.range("max_flows", FLAGS_max_flows, 1, kMaxFlows);
   check.range("drain_seconds", FLAGS_drain_seconds, 0, kMaxDrainSeconds);
   check.range("cold_limit", FLAGS_cold_limit, 1, kMaxColdLimit);
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -15,25 +15,19 @@
 
 constexpr std::size_t kRefusalsKept = 16;
 
-bool isFlowEvent(const telemetry::Event& aEvent)
-{
-  using telemetry::EventKind;
-  return aEvent.mKind == EventKind::kFlowOpened || aEvent.mKind == EventKind::kFlowClosed ||
-         aEvent.mKind == EventKind::kFlowAdopted;
-}
-
 } // namespace
 
 Shell::Shell(const ShellSettings& aSettings, net::Surroundings aSurroundings)
   : mSettings(aSettings)
   , mSurroundings(std::move(aSurroundings))
-  , mLog(aSettings.mName)
+  , mLog(aSettings.mName, aSettings.mLogLines)
   , mDecisions(aSettings.mAgent, mSurroundings.mFormat)
   , mStop(std::chrono::seconds(aSettings.mDrainSeconds))
   , mSocket(aSettings.mListen, mSurroundings.maxDatagram())
   , mAgentMetrics(mMetrics, mDecisions)
   , mConfigMetrics(mMetrics)
   , mRefusals(kRefusalsKept)
+  , mFlowSample(aSettings.mFlowSample)
   , mMembership(
       aSettings.mMembership,
       mLog,
@@ -250,7 +244,7 @@
   if (aEvent.mKind == telemetry::EventKind::kFlowRefused) {
     mRefusals.add(telemetry::wallClockMicroseconds(), aEvent);
   }
-  if (mSettings.mLogFlows || !isFlowEvent(aEvent)) {
+  if (mFlowSample.includes(aEvent)) {
     mLog.write(aEvent);
   }
 }
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -9,6 +9,7 @@
 #include "net/surroundings.hpp"
 #include "net/udp_socket.hpp"
 #include "telemetry/config_metrics.hpp"
+#include "telemetry/flow_sample.hpp"
 #include "telemetry/recent_events.hpp"
 #include "wire/codec.hpp"
 
@@ -26,7 +27,8 @@
   std::string mName;            ///< name in logs
   membership::ShellSettings mMembership;
   std::uint32_t mDrainSeconds = 0; ///< how long a stopping agent waits for requests in progress
-  bool mLogFlows = false;          ///< log an event for each flow
+  std::uint32_t mFlowSample = 0;   ///< one flow in so many is logged; 0 for none
+  std::uint32_t mLogLines = telemetry::EventLog::kLinesPerSecond; ///< of single flows
 
   auto operator<=>(const ShellSettings&) const = default;
 };
@@ -71,6 +73,7 @@
   AgentMetrics mAgentMetrics;
   telemetry::ConfigMetrics mConfigMetrics;
   telemetry::RecentEvents mRefusals;
+  telemetry::FlowSample mFlowSample;
   membership::Shell mMembership;
   net::AdminServer mAdmin;
 };
--- a/src/balancer/actions.hpp
+++ b/src/balancer/actions.hpp
@@ -32,6 +32,7 @@
 {
   flow::Endpoint mTo;
   wire::Forward mForward;
+  bool mOpensFlow = false;
 
   auto operator<=>(const SendForward&) const = default;
 };
@@ -41,6 +42,7 @@
 {
   flow::FlowKey mFlow;
   flow::Bytes mReset;
+  DropReason mReason = DropReason::kNoService;
 
   auto operator<=>(const RefuseFlow&) const = default;
 };
--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -88,7 +88,7 @@
   if (!mMayRefuse || !aPacket.opensFlow()) {
     return DropPacket{ aReason };
   }
-  return RefuseFlow{ aPacket.keyFromCaller(), mFormat.mMakeReset(aPacket) };
+  return RefuseFlow{ aPacket.keyFromCaller(), mFormat.mMakeReset(aPacket), aReason };
 }
 
 Action Decisions::decide(base::Time aNow, std::span<const std::byte> aPacket)
@@ -116,7 +116,7 @@
   forward.mIngress = mSelf;
   const flow::Endpoint first = forward.mCandidates.front();
   mPeers.noteUse(aNow, first);
-  return SendForward{ first, std::move(forward) };
+  return SendForward{ first, std::move(forward), packet->opensFlow() };
 }
 
 void Decisions::learn(base::Time aNow, const wire::OwnerNotice& aNotice)
--- a/src/balancer/main.cpp
+++ b/src/balancer/main.cpp
@@ -12,6 +12,7 @@
               "",
               "[Addresses] ADDRESS:PORT at which others reach this process; --listen if empty");
 DEFINE_string(admin, "", "[Addresses] ADDRESS:PORT for /metrics, /status and /healthz");
+DEFINE_uint32(flow_sample, 0, "[Logs] log the offers of one new flow in so many; 0 for none");
 DEFINE_string(name, "balancer", "[Logs] name of this process in logs");
 DEFINE_uint32(owner_cache, 131072, "[Limits] flows per generation whose owner is remembered");
 DEFINE_uint32(drain_seconds,
@@ -43,6 +44,7 @@
   settings.mAdmin = check.endpoint("admin", FLAGS_admin);
   settings.mMembership = membership::readFlags(check, settings.mAdvertise, settings.mListen);
   settings.mName = FLAGS_name;
+  settings.mFlowSample = FLAGS_flow_sample;
   settings.mCacheCapacity = FLAGS_owner_cache;
   settings.mDrainSeconds = FLAGS_drain_seconds;
   check.range("owner_cache", FLAGS_owner_cache, 1, kMaxOwnerCache);
--- a/src/balancer/packet_path.cpp
+++ b/src/balancer/packet_path.cpp
@@ -30,6 +30,9 @@
   }
   const auto& send = std::get<SendForward>(action);
   ++mForwarded;
+  if (send.mOpensFlow && mOnOffer) {
+    mOnOffer(send, aPacket);
+  }
   mSocket.queue(send.mTo, wire::encodeForward(mDecisions.revision(), send.mForward, aPacket));
 }
 
--- a/src/balancer/packet_path.hpp
+++ b/src/balancer/packet_path.hpp
@@ -17,6 +17,12 @@
   /// @brief Called with each refusal.
   using RefuseHook = std::function<void(const RefuseFlow&)>;
 
+  /// @brief Called with each new flow that is handed to an agent.
+  using OfferHook = std::function<void(const SendForward&, std::span<const std::byte>)>;
+
+  /// @brief Sets what is called with each new flow.
+  void onOffer(OfferHook aHook) { mOnOffer = std::move(aHook); }
+
   /// @param aOnRefuse sends the reset to the caller; may be empty if the decisions refuse nothing
   PacketPath(Decisions& aDecisions,
              net::UdpSocket& aSocket,
@@ -34,6 +40,7 @@
   net::UdpSocket& mSocket;
   DropHook mOnDrop;
   RefuseHook mOnRefuse;
+  OfferHook mOnOffer;
   std::uint64_t mForwarded = 0;
 };
 
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -47,7 +47,13 @@
       [this](const RefuseFlow& aRefusal) { refuse(aRefusal); })
   , mBalancerMetrics(mMetrics, mDecisions, mPath)
   , mConfigMetrics(mMetrics)
+  , mFlowSample(aSettings.mFlowSample)
 {
+  if (aSettings.mFlowSample > 0) {
+    mPath.onOffer([this](const SendForward& aOffer, std::span<const std::byte> aPacket) {
+      logOffer(aOffer, aPacket);
+    });
+  }
   telemetry::registerProcessMetrics(mMetrics, "balancer");
   net::registerSocketMetrics(mMetrics, mSocket);
 }
@@ -108,11 +114,26 @@
   }
 }
 
+void Shell::logOffer(const SendForward& aOffer, std::span<const std::byte> aPacket)
+{
+  const std::string flow = mSurroundings.mFormat.mParse(aPacket)->keyFromCaller().toString();
+  if (mFlowSample.includes(flow)) {
+    mLog.write({ telemetry::EventKind::kFlowOffered,
+                 { { "flow", flow },
+                   { "agent", aOffer.mTo.toString() },
+                   { "candidates", std::to_string(aOffer.mForward.mCandidates.size()) },
+                   { "suspects", std::to_string(mDecisions.peers().suspects()) },
+                   { "revision", std::to_string(mDecisions.revision()) } } });
+  }
+}
+
 void Shell::refuse(const RefuseFlow& aRefusal)
 {
   mLog.write({ telemetry::EventKind::kFlowRefused,
                { { "flow", aRefusal.mFlow.toString() },
-                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) } } });
+                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) },
+                 { "reason", std::string(toString(aRefusal.mReason)) },
+                 { "revision", std::to_string(mDecisions.revision()) } } });
   mSocket.queue(mSurroundings.mCallerPath(aRefusal.mFlow.mCaller), aRefusal.mReset);
 }
 
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -9,6 +9,7 @@
 #include "net/surroundings.hpp"
 #include "net/udp_socket.hpp"
 #include "telemetry/config_metrics.hpp"
+#include "telemetry/flow_sample.hpp"
 #include "wire/codec.hpp"
 
 namespace cornelcross::balancer {
@@ -23,6 +24,7 @@
   membership::ShellSettings mMembership; ///< configuration service, peers and control budget
   std::size_t mCacheCapacity = 0;        ///< flows per generation of the owner cache
   std::string mName;                     ///< name in logs
+  std::uint32_t mFlowSample = 0;         ///< one flow in so many is logged; 0 for none
   std::uint32_t mDrainSeconds = 0;       ///< how long a stopping balancer goes on forwarding
 
   auto operator<=>(const BalancerSettings&) const = default;
@@ -41,6 +43,7 @@
   void onDatagram(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void onFrame(std::span<const std::byte> aDatagram, flow::Endpoint aFrom);
   void refuse(const RefuseFlow& aRefusal);
+  void logOffer(const SendForward& aOffer, std::span<const std::byte> aPacket);
   void probePeers();
   void onConfiguration(config::ConfigurationPtr aConfiguration);
   nlohmann::json status() const;
@@ -59,6 +62,7 @@
   PacketPath mPath;
   BalancerMetrics mBalancerMetrics;
   telemetry::ConfigMetrics mConfigMetrics;
+  telemetry::FlowSample mFlowSample;
   bool mIsStopping = false;
   std::uint64_t mNonce = 0;
 };
--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -79,16 +79,16 @@
 std::vector<ConfigError> DocumentStore::merge(std::uint64_t aRevision,
                                               const std::vector<Document>& aDocuments)
 {
-  std::vector<ConfigError> errors;
+  Faults faults;
   std::vector<Document> documents = aDocuments;
   std::sort(documents.begin(), documents.end(), isOlder);
   std::shared_ptr<Configuration> next;
   bool accepted = false;
   for (const Document& document : documents) {
-    accepted = accept(document, next, errors) || accepted;
+    accepted = accept(document, next, faults) || accepted;
   }
   while (accepted) {
-    accepted = retryConflicting(next);
+    accepted = retryConflicting(next, faults);
   }
   const bool reverts = aRevision < mRevision && !base::mechanisms().mKeepRevisions;
   if (aRevision > mRevision || reverts) {
@@ -99,6 +99,15 @@
     next->mRevision = mRevision;
     mConfiguration = std::move(next);
   }
+  // A document that was in conflict with one that this merge replaced has been accepted after all.
+  std::vector<ConfigError> errors;
+  for (const Document& document : documents) {
+    const auto found = faults.find(document.mKey);
+    if (found != faults.end()) {
+      errors.insert(errors.end(), found->second.begin(), found->second.end());
+      faults.erase(found);
+    }
+  }
   return errors;
 }
 
@@ -110,24 +119,28 @@
   return *aNext;
 }
 
-bool DocumentStore::retryConflicting(std::shared_ptr<Configuration>& aNext)
+bool DocumentStore::retryConflicting(std::shared_ptr<Configuration>& aNext, Faults& aFaults)
 {
   std::vector<Document> documents;
   for (const auto& [key, document] : std::exchange(mConflicting, {})) {
     documents.push_back(document);
   }
   std::sort(documents.begin(), documents.end(), isOlder);
-  std::vector<ConfigError> alreadyReported;
   bool accepted = false;
   for (const Document& document : documents) {
-    accepted = accept(document, aNext, alreadyReported) || accepted;
+    // Those of earlier merges have been reported then.
+    Faults reported;
+    if (accept(document, aNext, reported)) {
+      aFaults.erase(document.mKey);
+      accepted = true;
+    }
   }
   return accepted;
 }
 
 bool DocumentStore::accept(const Document& aDocument,
                            std::shared_ptr<Configuration>& aNext,
-                           std::vector<ConfigError>& aErrors)
+                           Faults& aFaults)
 {
   const auto found = mAccepted.find(aDocument.mKey);
   const bool isKnown = found != mAccepted.end();
@@ -141,14 +154,14 @@
   }
   Parsed<DocumentValue> parsed = parseDocument(aDocument);
   if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
-    reject(aDocument, *faults, aErrors);
+    reject(aDocument, *faults, aFaults);
     return false;
   }
   auto& value = std::get<DocumentValue>(parsed);
   if (const auto* service = std::get_if<Service>(&value)) {
     const std::vector<ConfigError> faults = crossCheck(*service, mEndpoints);
     if (!faults.empty()) {
-      reject(aDocument, faults, aErrors);
+      reject(aDocument, faults, aFaults);
       mConflicting.insert_or_assign(aDocument.mKey, aDocument);
       return false;
     }
@@ -163,10 +176,10 @@
 }
 
 void DocumentStore::reject(const Document& aDocument,
-                           const std::vector<ConfigError>& aFaults,
-                           std::vector<ConfigError>& aErrors)
+                           std::vector<ConfigError> aErrors,
+                           Faults& aFaults)
 {
-  aErrors.insert(aErrors.end(), aFaults.begin(), aFaults.end());
+  aFaults[aDocument.mKey] = std::move(aErrors);
   std::uint64_t& rejected = mRejected[aDocument.mKey];
   rejected = std::max(rejected, aDocument.mRevision);
 }
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -63,13 +63,12 @@
 
 private:
   Configuration& editable(std::shared_ptr<Configuration>& aNext) const;
-  bool accept(const Document& aDocument,
-              std::shared_ptr<Configuration>& aNext,
-              std::vector<ConfigError>& aErrors);
-  void reject(const Document& aDocument,
-              const std::vector<ConfigError>& aFaults,
-              std::vector<ConfigError>& aErrors);
-  bool retryConflicting(std::shared_ptr<Configuration>& aNext);
+  /// Faults of rejected documents, by key.
+  using Faults = std::map<std::string, std::vector<ConfigError>>;
+
+  bool accept(const Document& aDocument, std::shared_ptr<Configuration>& aNext, Faults& aFaults);
+  void reject(const Document& aDocument, std::vector<ConfigError> aErrors, Faults& aFaults);
+  bool retryConflicting(std::shared_ptr<Configuration>& aNext, Faults& aFaults);
   void keep(const Document& aDocument);
   std::uint64_t newestRevision(const std::string& aKey) const;
   static void apply(const std::string& aKey, DocumentValue aValue, Configuration& aNext);
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -37,6 +37,10 @@
       return "settings_applied";
     case EventKind::kSettingsRejected:
       return "settings_rejected";
+    case EventKind::kFlowOffered:
+      return "flow_offered";
+    case EventKind::kLogSuppressed:
+      return "log_suppressed";
   }
   return "unknown";
 }
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -26,6 +26,8 @@
   kPacketDropped,
   kSettingsApplied,
   kSettingsRejected,
+  kFlowOffered,
+  kLogSuppressed,
 };
 
 /// @brief Name of the event in a log line.
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -3,6 +3,8 @@
 #include <easylogging++.h>
 
 #include <chrono>
+#include <poll.h>
+#include <unistd.h>
 #include <utility>
 
 INITIALIZE_EASYLOGGINGPP
@@ -31,7 +33,8 @@
     std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
-EventLog::EventLog(std::string aProcess) : mProcess(std::move(aProcess))
+EventLog::EventLog(std::string aProcess, std::uint32_t aLinesPerSecond)
+  : mProcess(std::move(aProcess)), mBudget(aLinesPerSecond)
 {
   el::Configurations configuration;
   configuration.setToDefault();
@@ -56,6 +59,25 @@
 
 void EventLog::write(const Event& aEvent) const
 {
+  const base::Time now =
+    std::chrono::time_point_cast<base::Duration>(std::chrono::steady_clock::now());
+  if (!mBudget.admit(now, aEvent.mKind)) {
+    return;
+  }
+  if (const auto suppressed = mBudget.takeSuppressed(now)) {
+    writeLine({ EventKind::kLogSuppressed, { { "lines", std::to_string(*suppressed) } } });
+  }
+  writeLine(aEvent);
+}
+
+// A pipe that polls as writable takes PIPE_BUF bytes, of which a line has fewer, without waiting.
+void EventLog::writeLine(const Event& aEvent) const
+{
+  pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+  if (poll(&output, 1, 0) == 0) {
+    mBudget.noteLost();
+    return;
+  }
   LOG(INFO) << format(wallClockMicroseconds(), mProcess, aEvent);
 }
 
--- a/src/telemetry/event_log.hpp
+++ b/src/telemetry/event_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "telemetry/event.hpp"
+#include "telemetry/log_budget.hpp"
 
 #include <cstdint>
 
@@ -17,10 +18,16 @@
 class EventLog
 {
 public:
-  /// @param aProcess name of this process in every line
-  explicit EventLog(std::string aProcess);
+  /// @brief Lines of single flows a second. A line costs about 10 us, so that a storm of refusals
+  /// takes 0.2% of a core.
+  static constexpr std::uint32_t kLinesPerSecond = 200;
 
-  /// @brief Writes one line. Values with spaces, quotes or '=' are quoted.
+  /// @param aProcess        name of this process in every line
+  /// @param aLinesPerSecond see LogBudget
+  explicit EventLog(std::string aProcess, std::uint32_t aLinesPerSecond = kLinesPerSecond);
+
+  /// @brief Writes one line within the budget. Values with spaces, quotes or '=' are quoted. Never
+  /// waits: a line that standard output can't take now is counted and lost.
   void write(const Event& aEvent) const;
 
   /// @brief The line without its end.
@@ -29,7 +36,10 @@
                             const Event& aEvent);
 
 private:
+  void writeLine(const Event& aEvent) const;
+
   std::string mProcess;
+  mutable LogBudget mBudget;
 };
 
 } // namespace cornelcross::telemetry
--- /dev/null
+++ b/tests/platform/test_catalog.cpp
@@ -0,0 +1,217 @@
+#include "config/document_store.hpp"
+#include "platform/catalog.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace cornelcross;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kConfig = R"({"version": 7, "routes": [
+  {"name": "r1", "hostname": "198.18.0.1", "prefix": "/443/", "service": "log"},
+  {"name": "r2", "hostname": "198.18.0.1", "prefix": "/8080/",
+   "trafficSplit": [{"service": "log", "weight": 90}, {"service": "cert", "weight": 10}]}],
+  "services": [{"name": "log", "warmupS": 2.0, "warmupPerS": 12.5}, {"name": "cert"}]})";
+
+std::string entry(const std::string& aService,
+                  const std::string& aAddress,
+                  const std::string& aState = "ready",
+                  std::uint64_t aBorn = 1000,
+                  int aSequence = 1,
+                  int aWarmupLeft = 0)
+{
+  return nlohmann::json{
+    { "service", aService },   { "address", aAddress },
+    { "zone", "a" },           { "capacity", 7 },
+    { "state", aState },       { "born", aBorn },
+    { "sequence", aSequence }, { "warmupLeftMs", aWarmupLeft },
+    { "version", "v1" }
+  }.dump();
+}
+
+/// A catalog whose documents are accepted as soon as they are there.
+struct Fixture
+{
+  void list(const std::vector<platform::StoreItem>& aItems)
+  {
+    mCatalog.replace(mNow, aItems);
+    accept();
+  }
+
+  /// @return number of documents that changed
+  std::size_t update(const std::string& aKey, std::optional<std::string> aValue)
+  {
+    mCatalog.update(mNow, { { aKey, ++mRevision, std::move(aValue) } });
+    return accept();
+  }
+
+  std::size_t accept()
+  {
+    const auto documents = mCatalog.documents(mNow, ++mRevision, mStore.revision());
+    const auto errors = mStore.merge(documents.empty() ? mStore.revision() : mRevision, documents);
+    BOOST_TEST(errors.empty());
+    return documents.size();
+  }
+
+  const config::Configuration& configuration() const { return *mStore.configuration(); }
+
+  std::size_t upstreams(const std::string& aService) const
+  {
+    return configuration().mServices.at(aService).mUpstreams.size();
+  }
+
+  void start()
+  {
+    list({ { "op/config", 1, kConfig },
+           { "servers/x", 2, entry("log", "10.0.0.1:80") },
+           { "servers/y", 3, entry("log", "10.0.0.2:80") },
+           { "servers/z", 4, entry("cert", "10.0.0.3:80") } });
+    heartbeat(); // until missing entries are gone for good
+  }
+
+  void heartbeat()
+  {
+    for (int i = 0; i < 4; ++i) {
+      mNow += 700ms;
+      mCatalog.update(mNow, {});
+    }
+    accept();
+  }
+
+  base::Time mNow{ 100s };
+  std::uint64_t mRevision = 10;
+  std::vector<std::string> mFaults;
+  config::DocumentStore mStore;
+  platform::Catalog mCatalog{
+    { { "a", "b" }, 8172, 770ms },
+    [this](const std::string& aKey) -> std::optional<config::Document> {
+      const auto found = mStore.documentsOf({ aKey });
+      return found.empty() ? std::nullopt : std::optional(found.front());
+    },
+    [this](const std::string& aPrefix) { return mStore.keysWith(aPrefix); },
+    [this](const std::string& aKey, const std::string&) { mFaults.push_back(aKey); }
+  };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(platform_catalog, Fixture)
+
+BOOST_AUTO_TEST_CASE(folds_entries_and_routes_into_documents)
+{
+  start();
+  const auto& log = configuration().mServices.at("log");
+  BOOST_TEST(log.mUpstreams.size() == 2U);
+  BOOST_TEST(log.mUpstreams[0].mAgent.toString() == "10.0.0.1:8172");
+  BOOST_TEST(log.mUpstreams[0].mStartedAtMs == 1000U);
+  BOOST_TEST(log.mColdStart.mMilliseconds == 2000U);
+  BOOST_TEST(log.mColdStart.mFlowsPerSecond == 12U);
+  BOOST_TEST(configuration().mServices.at("cert").mColdStart.mFlowsPerSecond == 0U);
+  BOOST_TEST(configuration().mAddresses.size() == 2U);
+  BOOST_TEST(configuration().opens("cert", *flow::Endpoint::parse("198.18.0.1:8080")));
+  BOOST_TEST(!configuration().serves("cert", *flow::Endpoint::parse("198.18.0.1:443")));
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_changes_nothing)
+{
+  start();
+  BOOST_TEST(update("servers/x", entry("log", "10.0.0.1:80", "ready", 1000, 2)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(states_and_cold_starts_are_told)
+{
+  start();
+  BOOST_TEST(update("servers/x", entry("log", "10.0.0.1:80", "draining")) == 1U);
+  BOOST_TEST(update("servers/y", entry("log", "10.0.0.2:80", "ready", 2000, 1, 900)) == 1U);
+  const auto& upstreams = configuration().mServices.at("log").mUpstreams;
+  BOOST_TEST((upstreams[0].mState == config::UpstreamState::kLeaving));
+  BOOST_TEST((upstreams[1].mState == config::UpstreamState::kJoining));
+}
+
+BOOST_AUTO_TEST_CASE(items_of_other_writers_name_no_upstream_and_harm_no_other)
+{
+  start();
+  update("servers/j1", "no json");
+  update("servers/j2", R"({"service": 5, "address": "10.0.0.9:80"})");
+  update("servers/j3", entry("log", "10.0.0.9:80", "asleep"));
+  update("servers/j4", entry("log", "nowhere"));
+  update("servers/j5", entry("unknown", "10.0.0.10:80"));
+  update("elsewhere/x", "{}");
+  BOOST_TEST(upstreams("log") == 2U);
+  BOOST_TEST(mFaults.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(an_address_that_is_used_again_belongs_to_the_newer_backend)
+{
+  start();
+  BOOST_TEST(update("servers/n", entry("cert", "10.0.0.1:80", "ready", 5000)) == 2U);
+  BOOST_TEST(upstreams("log") == 1U);
+  BOOST_TEST(upstreams("cert") == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_expires_while_the_store_answers_is_gone_at_once)
+{
+  start();
+  update("servers/x", std::nullopt);
+  BOOST_TEST(upstreams("log") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_expired_while_the_store_was_away_may_return)
+{
+  start();
+  mNow += 6s;
+  list({ { "op/config", 1, kConfig }, { "servers/z", 4, entry("cert", "10.0.0.3:80") } });
+  BOOST_TEST(upstreams("log") == 2U);
+  mNow += 1s;
+  update("servers/x", entry("log", "10.0.0.1:80"));
+  heartbeat();
+  BOOST_TEST(upstreams("log") == 1U); // the other one is gone after all
+}
+
+BOOST_AUTO_TEST_CASE(an_evacuated_zone_is_out_until_it_is_taken_back)
+{
+  start();
+  update("op/evacuate/a", "{}");
+  BOOST_TEST(!configuration().zoneIsIn("a"));
+  update("op/evacuate/a", std::nullopt);
+  BOOST_TEST(configuration().zoneIsIn("a"));
+}
+
+BOOST_AUTO_TEST_CASE(a_route_that_is_dropped_takes_its_address_with_it)
+{
+  start();
+  auto config = nlohmann::json::parse(kConfig);
+  config["routes"].erase(1);
+  update("op/config", config.dump());
+  BOOST_TEST(configuration().mAddresses.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_that_cannot_be_read_leaves_the_last_in_force)
+{
+  start();
+  BOOST_TEST(update("op/config", R"({"routes": 5})") == 0U);
+  BOOST_TEST(configuration().mAddresses.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(arbitrary_items_never_throw)
+{
+  const bool holds = rc::check("arbitrary items", [] {
+    const auto text = *rc::gen::arbitrary<std::string>();
+    platform::decodeAnswer(text);
+    platform::decodeBackend(text);
+    platform::decodeOperatorConfig(text);
+    auto json = nlohmann::json::parse(entry("log", "10.0.0.1:80"));
+    const auto field = *rc::gen::element<std::string>(
+      "service", "address", "zone", "capacity", "state", "born", "warmupLeftMs");
+    const auto value =
+      *rc::gen::element<std::string>("null", "-1", "1e300", "\"\"", "true", "[1]", "{}");
+    json[field] = nlohmann::json::parse(value);
+    platform::decodeBackend(json.dump());
+  });
+  BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/test_settings.cpp
@@ -0,0 +1,98 @@
+#include "platform/host_settings.hpp"
+#include "platform/programs.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace cornelcross;
+
+namespace {
+
+nlohmann::json complete()
+{
+  return nlohmann::json::parse(R"({
+    "nodeName": "side-a-1", "zone": "a", "zones": {"b": "r", "a": "r"},
+    "bindAddrs": {"datagramAddr": "10.1.0.12:8172", "outbound": "10.1.0.12:8162",
+                  "readiness": "10.1.0.12:8167"},
+    "internalPorts": [7720, 7735], "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
+    "heartbeatMs": 770, "platform": {"address": "10.200.1.7:8169"},
+    "bounds": {"maxFlowS": 60, "graceS": 6}, "somethingNew": {"x": [1]}})");
+}
+
+std::vector<config::ConfigError> errorsOf(const nlohmann::json& aSettings)
+{
+  const auto result = platform::parseHostSettings(aSettings.dump());
+  const auto* errors = std::get_if<std::vector<config::ConfigError>>(&result);
+  return errors == nullptr ? std::vector<config::ConfigError>{} : *errors;
+}
+
+platform::HostSettings settingsOf(const nlohmann::json& aSettings)
+{
+  return std::get<platform::HostSettings>(platform::parseHostSettings(aSettings.dump()));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_settings)
+
+BOOST_AUTO_TEST_CASE(reads_what_a_process_needs_and_ignores_the_rest)
+{
+  const auto settings = settingsOf(complete());
+  BOOST_TEST(settings.mPackets.toString() == "10.1.0.12:8172");
+  BOOST_TEST(settings.mFromBackend->toString() == "10.1.0.12:8162");
+  BOOST_TEST(settings.mFirstPort == 7720);
+  BOOST_TEST((settings.mZones == std::vector<std::string>{ "a", "b" }));
+  BOOST_TEST(settings.mSeeds.size() == 2U);
+  BOOST_TEST(settings.mFlowLifetimeS == 60U);
+}
+
+BOOST_AUTO_TEST_CASE(a_balancer_has_no_backend_of_its_own)
+{
+  auto json = complete();
+  json["bindAddrs"].erase("outbound");
+  BOOST_TEST(!settingsOf(json).mFromBackend.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(lists_every_missing_field)
+{
+  for (const char* field :
+       { "nodeName", "zone", "bindAddrs", "internalPorts", "heartbeatMs", "platform", "bounds" }) {
+    auto json = complete();
+    json.erase(field);
+    BOOST_TEST(!errorsOf(json).empty(), field);
+  }
+  BOOST_TEST(errorsOf(nlohmann::json::object()).size() >= 8U);
+}
+
+BOOST_AUTO_TEST_CASE(names_a_field_of_another_type_and_a_seed_that_is_no_address)
+{
+  auto json = complete();
+  json["heartbeatMs"] = "soon";
+  json["seeds"][1] = "nowhere";
+  BOOST_TEST(errorsOf(json).size() == 2U);
+  BOOST_TEST(errorsOf(nlohmann::json("text")).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(changed_seeds_are_taken_over_and_a_faulty_file_is_refused_once)
+{
+  auto json = complete();
+  const auto surroundings = platform::surroundings(
+    settingsOf(json), [&] { return platform::parseHostSettings(json.dump()); });
+  BOOST_TEST(std::holds_alternative<net::SettingsUnchanged>(surroundings.mReadSettings()));
+  json["seeds"] = { "10.3.0.7:8166" };
+  const auto change = surroundings.mReadSettings();
+  const auto* update = std::get_if<net::SettingsUpdate>(&change);
+  BOOST_REQUIRE(update != nullptr);
+  BOOST_TEST(update->mSeeds.size() == 1U);
+  BOOST_TEST(update->mSeeds[0].toString() == "10.3.0.7:8172");
+  BOOST_TEST(!update->mNeedsRestart);
+  json.erase("zone");
+  BOOST_TEST(std::holds_alternative<net::SettingsFault>(surroundings.mReadSettings()));
+  BOOST_TEST(std::holds_alternative<net::SettingsUnchanged>(surroundings.mReadSettings()));
+  json["zone"] = "b";
+  const auto moved = surroundings.mReadSettings();
+  BOOST_REQUIRE(std::holds_alternative<net::SettingsUpdate>(moved));
+  BOOST_TEST(std::get<net::SettingsUpdate>(moved).mNeedsRestart);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/support/sealed_packets.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "flow/byte_order.hpp"
+#include "platform/packet.hpp"
+
+namespace cornelcross::test {
+
+/// @brief Fields of a packet of the platform.
+struct SealedPacket
+{
+  flow::Endpoint mSource;
+  flow::Endpoint mDestination;
+  std::uint8_t mFlagBits = 0;
+  std::uint32_t mSequence = 0;
+  std::uint32_t mAcknowledgement = 0;
+  std::size_t mData = 0;
+};
+
+inline constexpr std::uint8_t kSealedSyn = 32;
+inline constexpr std::uint8_t kSealedAck = 64;
+inline constexpr std::uint8_t kSealedReturned = 1;
+
+/// @brief The packet's bytes, as its sender wrote them; the sum is arbitrary.
+inline flow::Bytes makeSealed(const SealedPacket& aPacket)
+{
+  flow::Bytes bytes(platform::kHeaderSize + aPacket.mData);
+  flow::write16(bytes, 0, static_cast<std::uint16_t>(aPacket.mData));
+  bytes[2] = std::byte{ aPacket.mFlagBits };
+  flow::write32(bytes, 10, aPacket.mSource.mAddress.mValue);
+  flow::write16(bytes, 14, aPacket.mDestination.mPort);
+  flow::write32(bytes, 16, aPacket.mDestination.mAddress.mValue);
+  flow::write16(bytes, 20, aPacket.mSource.mPort);
+  flow::write32(bytes, 22, aPacket.mSequence);
+  flow::write32(bytes, 26, aPacket.mAcknowledgement);
+  flow::write32(bytes, 30, 0xA1B2C3D5U);
+  return bytes;
+}
+
+/// @brief The packet as its receiver gives it back: marked, with the tag that it came with.
+inline flow::Bytes returned(flow::Bytes aPacket)
+{
+  aPacket[2] |= std::byte{ kSealedReturned };
+  return aPacket;
+}
+
+} // namespace cornelcross::test
--- /dev/null
+++ b/tests/unit/test_log_budget.cpp
@@ -0,0 +1,104 @@
+#include "telemetry/event_log.hpp"
+#include "telemetry/flow_sample.hpp"
+#include "telemetry/log_budget.hpp"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace cornelcross;
+using namespace cornelcross::telemetry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t kLines = 100;
+
+int admitted(LogBudget& aBudget, base::Time aNow, EventKind aKind, int aCount)
+{
+  int lines = 0;
+  for (int i = 0; i < aCount; ++i) {
+    lines += aBudget.admit(aNow, aKind) ? 1 : 0;
+  }
+  return lines;
+}
+
+/// Standard output as a pipe that nobody reads.
+class UnreadOutput
+{
+public:
+  UnreadOutput()
+  {
+    BOOST_REQUIRE(pipe(mPipe.data()) == 0);
+    dup2(mPipe[1], STDOUT_FILENO);
+  }
+
+  ~UnreadOutput()
+  {
+    dup2(mSaved, STDOUT_FILENO);
+    close(mSaved);
+    close(mPipe[0]);
+    close(mPipe[1]);
+  }
+
+private:
+  int mSaved = dup(STDOUT_FILENO);
+  std::array<int, 2> mPipe{};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(log_budget)
+
+BOOST_AUTO_TEST_CASE(openings_are_thinned_before_refusals_and_beliefs_never)
+{
+  LogBudget budget(kLines);
+  const base::Time now{ 100s };
+  BOOST_TEST(admitted(budget, now, EventKind::kFlowOpened, 1000) == 50);
+  BOOST_TEST(admitted(budget, now, EventKind::kFlowRefused, 1000) == 50);
+  BOOST_TEST(admitted(budget, now, EventKind::kConfigApplied, 1000) == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_suppressed_is_told_once_a_second)
+{
+  LogBudget budget(kLines);
+  const base::Time now{ 100s };
+  admitted(budget, now, EventKind::kFlowRefused, 130);
+  BOOST_TEST(budget.takeSuppressed(now).value_or(0) == 30U);
+  admitted(budget, now, EventKind::kFlowRefused, 5);
+  BOOST_TEST(!budget.takeSuppressed(now + 500ms).has_value());
+  BOOST_TEST(budget.takeSuppressed(now + 1s).value_or(0) == 5U);
+  BOOST_TEST(!budget.takeSuppressed(now + 9s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(every_process_samples_the_same_flows)
+{
+  const FlowSample sample(64);
+  int chosen = 0;
+  for (int port = 1; port <= 6400; ++port) {
+    const std::string flow = "100.64.0.7:" + std::to_string(port) + ">198.18.0.1:443";
+    const Event opened{ EventKind::kFlowOpened, { { "flow", flow } } };
+    const Event closed{ EventKind::kFlowClosed, { { "flow", flow } } };
+    BOOST_TEST(sample.includes(opened) == sample.includes(closed));
+    chosen += sample.includes(flow) ? 1 : 0;
+  }
+  BOOST_TEST(chosen > 50); // a binomial distribution around 100, five standard deviations
+  BOOST_TEST(chosen < 150);
+  BOOST_TEST(sample.includes(Event{ EventKind::kFlowRefused, { { "flow", "x" } } }));
+  BOOST_TEST(!FlowSample(0).includes("x"));
+}
+
+BOOST_AUTO_TEST_CASE(a_reader_that_stops_reading_costs_lines_and_no_time)
+{
+  const EventLog log("test");
+  const UnreadOutput output;
+  const auto start = std::chrono::steady_clock::now();
+  const Event event{ EventKind::kConfigApplied, { { "revision", std::string(200, '1') } } };
+  for (int i = 0; i < 2000; ++i) { // several times what a pipe holds
+    log.write(event);
+  }
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 5s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
