--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -60,13 +60,33 @@
                     [this](const telemetry::Event& aEvent) { mLog.write(aEvent); } });
 }
 
+void Shell::putInForce(config::ConfigurationPtr aConfiguration)
+{
+  const auto stateOf = [](const config::Configuration& aIn, const std::string& aZone) {
+    return aIn.zoneIsIn(aZone) ? "in" : aIn.zoneIsClosing(aZone) ? "closing" : "out";
+  };
+  for (const auto& [name, zone] : aConfiguration->mZones) {
+    const std::string before = stateOf(*mInForce, name);
+    const std::string after = stateOf(*aConfiguration, name);
+    if (before != after) {
+      mLog.write({ EventKind::kZoneChanged,
+                   { { "zone", name },
+                     { "before", before },
+                     { "after", after },
+                     { "revision", std::to_string(aConfiguration->mRevision) } } });
+    }
+  }
+  mInForce = aConfiguration;
+  mListener(std::move(aConfiguration));
+}
+
 void Shell::expireRetained(base::Time aNow)
 {
   if (mRetained.isComplete()) {
     mDecisions.historyLearned();
   }
-  if (const auto configuration = mRetained.expire(aNow)) {
-    mListener(configuration);
+  if (auto configuration = mRetained.expire(aNow)) {
+    putInForce(std::move(configuration));
   }
 }
 
@@ -208,7 +228,7 @@
   }
   merge(reply->mBatch, aPeer.toString());
   if (!mRetained.isComplete()) {
-    mListener(mRetained.adopt(net::MainLoop::now(), reply->mHistory));
+    putInForce(mRetained.adopt(net::MainLoop::now(), reply->mHistory));
   }
   perform(mDecisions.onPulled(net::MainLoop::now(), reply->mBatch.mRevision));
 }
@@ -244,7 +264,7 @@
                { { "revision", std::to_string(mStore.revision()) }, { "source", aSource } } });
   mMetrics.gauge("cornelcross_config_revision", "Configuration revision in force")
     .Set(static_cast<double>(mStore.revision()));
-  mListener(mRetained.apply(net::MainLoop::now(), mStore.configuration()));
+  putInForce(mRetained.apply(net::MainLoop::now(), mStore.configuration()));
   perform(mDecisions.apply(net::MainLoop::now(), *mStore.configuration(), mStore.rejectedKeys()));
 }
 
--- a/src/membership/shell.hpp
+++ b/src/membership/shell.hpp
@@ -75,6 +75,7 @@
   void perform(const telemetry::Event& aEvent);
   void sendAll(std::vector<ControlDatagram> aDatagrams);
   void readSettings();
+  void putInForce(config::ConfigurationPtr aConfiguration);
   void expireRetained(base::Time aNow);
   net::DocumentSource makeSource(const net::DocumentSourceFactory& aFactory);
   void onServiceResult(const net::ConfigResult& aResult);
@@ -93,6 +94,7 @@
   ControlBudget mBudget;
   ControlQueue mQueue;
   config::RetainedRoutes mRetained;
+  config::ConfigurationPtr mInForce = std::make_shared<const config::Configuration>();
   net::DocumentSource mService;
   std::function<net::SettingsChange()> mReadSettings;
   net::PullClient mPullClient;
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -41,6 +41,8 @@
       return "flow_offered";
     case EventKind::kLogSuppressed:
       return "log_suppressed";
+    case EventKind::kZoneChanged:
+      return "zone_changed";
   }
   return "unknown";
 }
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -28,6 +28,7 @@
   kSettingsRejected,
   kFlowOffered,
   kLogSuppressed,
+  kZoneChanged,
 };
 
 /// @brief Name of the event in a log line.
--- a/tests/unit/test_failure_detector.cpp
+++ b/tests/unit/test_failure_detector.cpp
@@ -1,6 +1,7 @@
 #include "membership/failure_detector.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace cornelcross;
 using namespace std::chrono_literals;
@@ -70,6 +71,24 @@
   BOOST_TEST(mDetector.probes() - before == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(tries_every_pair_of_ports_with_a_suspect_and_stays_with_the_one_that_answers)
+{
+  membership::FailureDetector responder;
+  std::set<std::pair<bool, bool>> pairs;
+  for (int i = 0; i < 40; ++i) {
+    mDetector.noteUse(mNow, kPeer);
+    if (!mDetector.takeProbes(mNow).empty()) {
+      responder.noteProbed(mNow, kPeer, mDetector.attempts(kPeer));
+      pairs.emplace(mDetector.usesSparePort(kPeer), responder.usesSparePort(kPeer));
+    }
+    mNow += 100ms;
+  }
+  BOOST_TEST(pairs.size() == 4U);
+  const bool usesSpare = mDetector.usesSparePort(kPeer);
+  mDetector.noteAlive(mNow, kPeer);
+  BOOST_TEST(mDetector.usesSparePort(kPeer) == usesSpare);
+}
+
 BOOST_AUTO_TEST_CASE(moves_suspects_behind_the_others_and_keeps_their_order)
 {
   use(kPeer, 2s);
--- a/tests/unit/test_membership_decisions.cpp
+++ b/tests/unit/test_membership_decisions.cpp
@@ -199,6 +199,37 @@
   BOOST_TEST(all<membership::SendHeartbeat>(process.onHeartbeat(kStart, 5, heartbeat)).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_process_that_starts_asks_a_confirmed_peer_for_what_earlier_ones_left_behind)
+{
+  auto process = makeConfirmed(5);
+  const auto pulls = pullWithinASecond(process, kStart);
+  BOOST_REQUIRE(pulls.size() == 1U);
+  process.onPulled(kStart + 1s, 5);
+  process.historyLearned();
+  BOOST_TEST(pullWithinASecond(process, kStart + 4s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_starting_process_without_peers_asks_the_new_seeds)
+{
+  membership::Decisions process(settingsOf());
+  process.start(kStart);
+  process.takeSeeds({ kOther });
+  const auto asked = questionsOf(process.onTick(kStart + 1s));
+  BOOST_REQUIRE(!asked.empty());
+  BOOST_TEST((asked[0].mTo == kOther));
+}
+
+BOOST_AUTO_TEST_CASE(a_linearizable_service_confirms_a_start_alone)
+{
+  auto settings = settingsOf();
+  settings.mServiceIsLinearizable = true;
+  membership::Decisions process(settings);
+  process.start(kStart);
+  process.apply(kStart, test::makeConfiguration(3, 5), {});
+  process.onServiceAnswer(kStart, 5);
+  BOOST_TEST(process.mayForward());
+}
+
 BOOST_AUTO_TEST_CASE(thousands_that_hear_one_frame_do_not_pull_at_the_same_moment)
 {
   constexpr int kProcesses = 400;
