--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -197,7 +197,14 @@
   if (aPacket.has(flow::kRst) || !aForward.mIsUnanimous || !aForward.mIsComplete || !isCertain) {
     return { DropPacket{ DropReason::kNoOwner } };
   }
-  return { SendToCaller{ mFormat.mMakeReset(aPacket) } };
+  return { SendToCaller{ mFormat.mMakeReset(aPacket) },
+           telemetry::Event{
+             telemetry::EventKind::kFlowReset,
+             { { "flow", aPacket.keyFromCaller().toString() },
+               { "reason", "denied_by_all" },
+               { "verdict", std::string(toString(flow::RunVerdict::kMayHaveRun)) },
+               { "candidates", std::to_string(aForward.mCandidates.size()) },
+               { "revision", std::to_string(mConfiguration ? mConfiguration->mRevision : 0) } } } };
 }
 
 } // namespace cornelcross::agent
--- a/src/agent/returned_packets.cpp
+++ b/src/agent/returned_packets.cpp
@@ -45,6 +45,13 @@
     mFlows.erase(key);
     if (!aPacket.has(flow::kRst)) {
       actions.emplace_back(SendToCaller{ mFormat.mMakeReset(aPacket) });
+      actions.emplace_back(
+        telemetry::Event{ telemetry::EventKind::kFlowReset,
+                          { { "flow", key.toString() },
+                            { "reason", "upstream_lost" },
+                            { "verdict", std::string(toString(flow::RunVerdict::kMayHaveRun)) },
+                            { "upstream", mUpstream->mName },
+                            { "revision", std::to_string(revision()) } } });
     }
     return actions;
   }
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -43,6 +43,8 @@
       return "log_suppressed";
     case EventKind::kZoneChanged:
       return "zone_changed";
+    case EventKind::kFlowReset:
+      return "flow_reset";
   }
   return "unknown";
 }
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -29,6 +29,7 @@
   kFlowOffered,
   kLogSuppressed,
   kZoneChanged,
+  kFlowReset,
 };
 
 /// @brief Name of the event in a log line.
--- a/src/telemetry/log_budget.cpp
+++ b/src/telemetry/log_budget.cpp
@@ -23,7 +23,7 @@
     mSecond = aNow;
     mWritten = 0;
   }
-  const bool isRefusal = aKind == EventKind::kFlowRefused;
+  const bool isRefusal = aKind == EventKind::kFlowRefused || aKind == EventKind::kFlowReset;
   if (!isRefusal && !isOrdinary(aKind)) {
     return true;
   }
