--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -16,8 +16,6 @@
   /// For so long after its start an agent's records may lack flows of its upstream.
   base::Duration mRecoveryWindow = std::chrono::hours(12);
   std::uint64_t mStartedAtMs = 0; ///< wall clock of this process's start; 0 if not known
-  bool mChecksUpstream = false;   ///< the upstream listens at its address over TCP for as long as
-                                  ///< it holds flows
   KeepAliveSettings mKeepAlive = {};
   base::Duration mHalfOpenTimeout = std::chrono::seconds(30);
   base::Duration mClosingTimeout = std::chrono::seconds(60);
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -129,7 +129,6 @@
   }
   mInquiry.clear();
   mUpstreamWatch = {};
-  mUpstreamLife = {};
   mStarted = aNow;
   return actions;
 }
@@ -351,7 +350,6 @@
   mUpstreamWatch.noteSyn(aNow);
   mInquiry.erase(aPacket.keyFromCaller());
   mAdmission.flowOpened(aNow);
-  mUpstreamLife.noteDelivered(aNow);
   editSyn(aForward.mPacket, aPacket);
   flow::Bytes bytes = std::move(aForward.mPacket);
   Actions actions = deliverReturnable(std::move(bytes), aForward);
@@ -459,9 +457,6 @@
   aRecord.mLastSeen = aNow;
   // Whether payload is new is judged by what was seen before this segment.
   trackCallerPayload(aNow, aRecord, aPacket);
-  if (aPacket.mPayloadLength > 0) {
-    mUpstreamLife.noteDelivered(aNow);
-  }
   noteCaller(aNow, aRecord, aPacket.nextSequence());
   Actions actions;
   actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket });
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -9,7 +9,6 @@
 #include "agent/keep_alive.hpp"
 #include "agent/returnable_packets.hpp"
 #include "agent/upstream_inquiry.hpp"
-#include "agent/upstream_life.hpp"
 #include "agent/upstream_watch.hpp"
 #include "config/configuration.hpp"
 #include "flow/packet_format.hpp"
@@ -65,12 +64,6 @@
   /// @brief Probes silent peers; called a few times a second.
   Actions onPeerTick(base::Time aNow);
 
-  /// @brief Where to look whether the upstream still runs; empty if there is no reason to.
-  std::optional<flow::Endpoint> upstreamToCheck(base::Time aNow) const;
-
-  /// @brief A look was taken at the upstream. Once nothing listens there, its flows are dead.
-  Actions onUpstreamChecked(base::Time aNow, bool aIsRefused);
-
   /// @brief Which agents answer.
   membership::FailureDetector& peers() { return mPeers; }
 
@@ -108,7 +101,6 @@
                        DropReason aReason);
   Actions deliverReturnable(flow::Bytes aPacket, const wire::Forward& aForward);
   Actions askUpstream(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
-  Actions endFlows(base::Time aNow);
   Actions onReturned(base::Time aNow, const flow::TcpPacket& aPacket, flow::Bytes aBytes);
   void editSyn(flow::Bytes& aBytes, const flow::TcpPacket& aPacket) const;
   Actions onInquiry(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
@@ -185,7 +177,6 @@
   UpstreamInquiry mInquiry;
   ReturnablePackets mReturnable;
   UpstreamWatch mUpstreamWatch;
-  UpstreamLife mUpstreamLife;
   KeepAlive mKeepAlive;
   bool mSawUpstreamStart = false;     ///< the upstream has had no flow without this agent
   std::optional<base::Time> mStarted; ///< when the first configuration came into force
--- a/src/agent/returned_packets.cpp
+++ b/src/agent/returned_packets.cpp
@@ -34,7 +34,6 @@
 
 Actions Decisions::onReturned(base::Time aNow, const flow::TcpPacket& aPacket, flow::Bytes aBytes)
 {
-  mUpstreamLife.noteHeard();
   mFormat.mClearReturn(aBytes);
   const flow::FlowKey key = aPacket.keyFromCaller();
   FlowRecord* record = mFlows.find(key);
@@ -76,52 +75,6 @@
   return actions;
 }
 
-std::optional<flow::Endpoint> Decisions::upstreamToCheck(base::Time aNow) const
-{
-  if (!mSettings.mChecksUpstream || !mUpstream || mFlows.size() == 0) {
-    return std::nullopt;
-  }
-  const bool isLeaving = mUpstream->mState == config::UpstreamState::kLeaving ||
-                         mUpstream->mState == config::UpstreamState::kGone;
-  return mUpstreamLife.isCheckDue(aNow, isLeaving) ? std::optional(mUpstream->mAddress)
-                                                   : std::nullopt;
-}
-
-Actions Decisions::onUpstreamChecked(base::Time aNow, bool aIsRefused)
-{
-  if (!mUpstreamLife.noteCheck(aNow, aIsRefused) || !mUpstream) {
-    return {};
-  }
-  mUpstreamWatch.noteRefused(aNow);
-  return endFlows(aNow);
-}
-
-// Their callers would wait for their deadlines; told now, they open new flows.
-Actions Decisions::endFlows(base::Time aNow)
-{
-  Actions actions;
-  mFlows.eraseIf([&](const flow::FlowKey& aFlow, FlowRecord& aRecord) {
-    if (aRecord.mState == FlowState::kEstablished && aRecord.mKnowsUpstreamNext) {
-      flow::TcpPacket last;
-      last.mSource = aFlow.mCaller;
-      last.mDestination = aFlow.mService;
-      last.mFlags = flow::kAck;
-      last.mAcknowledgement = aRecord.mUpstreamNext;
-      actions.emplace_back(SendToCaller{ mFormat.mMakeReset(last) });
-      actions.emplace_back(
-        telemetry::Event{ telemetry::EventKind::kFlowReset,
-                          { { "flow", aFlow.toString() },
-                            { "reason", "upstream_ended" },
-                            { "verdict", std::string(toString(flow::RunVerdict::kMayHaveRun)) },
-                            { "upstream", mUpstream->mName },
-                            { "revision", std::to_string(revision()) } } });
-    }
-    actions.emplace_back(close(aNow, aFlow, aRecord, "upstream_ended"));
-    return true;
-  });
-  return actions;
-}
-
 Actions Decisions::relayWhileStarting(flow::Bytes aPacket) const
 {
   const auto packet = mFormat.mParse(aPacket);
--- a/src/agent/shell.cpp
+++ b/src/agent/shell.cpp
@@ -13,8 +13,6 @@
 constexpr base::Duration kReportInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kProbeTick = std::chrono::milliseconds(100);
 
-constexpr base::Duration kCheckDeadline = std::chrono::milliseconds(300); // on the same machine
-
 constexpr std::size_t kRefusalsKept = 16;
 
 } // namespace
@@ -48,7 +46,6 @@
       [this] { return status(); },
       [this] { return health(); },
       mSurroundings.mHealthPage)
-  , mUpstreamCheck(kCheckDeadline)
 {
   if (aSettings.mUpstreamListen) {
     mUpstreamSocket =
@@ -121,21 +118,8 @@
                  { "flows", std::to_string(mDecisions.flows().size()) } } });
 }
 
-void Shell::checkUpstream()
-{
-  const auto endpoint = mDecisions.upstreamToCheck(net::MainLoop::now());
-  if (!endpoint) {
-    return;
-  }
-  mUpstreamCheck.start(*endpoint, [this](bool aIsRefused) {
-    perform(mDecisions.onUpstreamChecked(net::MainLoop::now(), aIsRefused));
-    mSocket.flush();
-  });
-}
-
 void Shell::onPeerTick()
 {
-  checkUpstream();
   perform(mDecisions.onPeerTick(net::MainLoop::now()));
   mSocket.flush();
   if (mStop.isDue(net::MainLoop::now(), mDecisions.admission().busy() > 0)) {
--- a/src/agent/shell.hpp
+++ b/src/agent/shell.hpp
@@ -6,7 +6,6 @@
 #include "membership/shell.hpp"
 #include "net/admin_server.hpp"
 #include "net/main_loop.hpp"
-#include "net/port_check.hpp"
 #include "net/surroundings.hpp"
 #include "net/udp_socket.hpp"
 #include "telemetry/config_metrics.hpp"
@@ -51,7 +50,6 @@
   void onHoldTimer();
   void onTerminate();
   void onPeerTick();
-  void checkUpstream();
   net::Health health();
   void perform(Actions aActions);
   void perform(DeliverToUpstream& aAction);
@@ -78,7 +76,6 @@
   telemetry::FlowSample mFlowSample;
   membership::Shell mMembership;
   net::AdminServer mAdmin;
-  net::PortCheck mUpstreamCheck;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/upstream_packets.cpp
+++ b/src/agent/upstream_packets.cpp
@@ -16,7 +16,6 @@
   if (packet->mIsReturned) {
     return onReturned(aNow, *packet, std::move(aPacket));
   }
-  mUpstreamLife.noteHeard();
   FlowRecord* record = mFlows.find(packet->keyFromUpstream());
   const bool isServed = record != nullptr || mConfiguration->serves(mServiceName, packet->mSource);
   if (!mUpstream || !isServed) {
