--- a/tests/platform/test_catalog.cpp
+++ b/tests/platform/test_catalog.cpp
@@ -189,6 +189,26 @@
   BOOST_TEST(configuration().mAddresses.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_reader_that_missed_a_configuration_does_not_bring_the_older_one_back)
+{
+  start();
+  mStore.merge(mRevision + 5, { { "address/198.18.0.1:8080", mRevision + 5, std::nullopt } });
+  mRevision += 50;
+  heartbeat(); // of the catalog that has only seen the older one
+  BOOST_TEST(configuration().mAddresses.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(items_that_are_older_than_those_held_are_ignored)
+{
+  start();
+  update("servers/x", entry("log", "10.0.0.1:80", "draining"));
+  mCatalog.update(mNow,
+                  { { "servers/x", 3, entry("log", "10.0.0.1:80") },
+                    { "op/config", 0, R"({"routes": [], "services": []})" } });
+  BOOST_TEST(accept() == 0U);
+  BOOST_TEST(configuration().mAddresses.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_that_cannot_be_read_leaves_the_last_in_force)
 {
   start();
