--- a/src/membership/decisions.cpp
+++ b/src/membership/decisions.cpp
@@ -9,7 +9,8 @@
 constexpr base::Duration kConfirmInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kRejectedInterval = std::chrono::seconds(1);
 constexpr base::Duration kHistoryInterval = std::chrono::seconds(2);
-constexpr unsigned kRejectedTries = 3; // peers asked for an accepted version
+constexpr unsigned kMaxHistoryPulls = 6; // the last one a minute after the start
+constexpr unsigned kRejectedTries = 3;   // peers asked for an accepted version
 
 std::uint32_t toMilliseconds(base::Duration aAge)
 {
@@ -156,10 +157,13 @@
 
 void Decisions::pullHistory(base::Time aNow, Actions& aActions)
 {
-  if (!mWantsHistory || !mHistoryPeer || mPulls.isInProgress() || aNow < mHistoryAt) {
+  const bool isDue = mWantsHistory && mHistoryPeer && mHistoryPulls < kMaxHistoryPulls;
+  if (!isDue || mPulls.isInProgress() || aNow < mHistoryAt) {
     return;
   }
-  mHistoryAt = aNow + kHistoryInterval;
+  // Peers that have just started themselves know no more: ever longer between the questions.
+  mHistoryAt = aNow + kHistoryInterval * (1U << mHistoryPulls);
+  ++mHistoryPulls;
   mPulls.begin(*mHistoryPeer);
   aActions.emplace_back(StartPull{ *mHistoryPeer, { mRevision, mRejected } });
 }
--- a/src/membership/decisions.hpp
+++ b/src/membership/decisions.hpp
@@ -91,6 +91,7 @@
   bool mWantsHistory = true;
   std::optional<flow::Endpoint> mHistoryPeer; ///< whom to ask for it
   base::Time mHistoryAt;                      ///< when to ask next
+  unsigned mHistoryPulls = 0;
 };
 
 } // namespace cornelcross::membership
--- a/tests/membership/node.cpp
+++ b/tests/membership/node.cpp
@@ -20,6 +20,7 @@
   membership::ShellSettings settings;
   settings.mListen = aSettings.mListen;
   settings.mConfigService = aSettings.mConfigService;
+  settings.mStartedAtMs = 1; // older than every upstream, so that no peer is asked for history
   settings.mDecisions.mSelf = aSettings.mListen;
   settings.mDecisions.mSeeds = aSettings.mSeeds;
   settings.mDecisions.mReaders = aSettings.mReaders;
--- a/tests/unit/test_membership_decisions.cpp
+++ b/tests/unit/test_membership_decisions.cpp
@@ -209,6 +209,20 @@
   BOOST_TEST(pullWithinASecond(process, kStart + 4s).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_process_whose_peers_know_no_more_asks_a_few_times_only)
+{
+  auto process = makeConfirmed(5);
+  std::size_t pulls = 0;
+  for (base::Time now = kStart; now < kStart + 10min; now += 100ms) {
+    const auto started = all<membership::StartPull>(process.onTick(now));
+    pulls += started.size();
+    if (!started.empty()) {
+      process.onPulled(now, 5);
+    }
+  }
+  BOOST_TEST(pulls == 6U);
+}
+
 BOOST_AUTO_TEST_CASE(a_starting_process_without_peers_asks_the_new_seeds)
 {
   membership::Decisions process(settingsOf());
