Pass documents on that go back to an earlier text

A process that had missed the text in between therefore did not hand the newest one to those that held that one, and told them the newest revision all the same: they stayed with the old route for good.

--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -143,15 +143,10 @@
                            Faults& aFaults)
 {
   const auto found = mAccepted.find(aDocument.mKey);
-  const bool isKnown = found != mAccepted.end();
-  const bool isOld = isKnown && newestRevision(aDocument.mKey) >= aDocument.mRevision;
+  const bool isOld = found != mAccepted.end() && found->second.mRevision >= aDocument.mRevision;
   if (isOld && base::mechanisms().mKeepRevisions) {
     return false;
   }
-  if (isKnown && found->second.mText == aDocument.mText && !mRejected.contains(aDocument.mKey)) {
-    mRepeated[aDocument.mKey] = aDocument.mRevision;
-    return false;
-  }
   Parsed<DocumentValue> parsed = parseDocument(aDocument);
   if (const auto* faults = std::get_if<std::vector<ConfigError>>(&parsed)) {
     reject(aDocument, *faults, aFaults);
@@ -241,15 +236,8 @@
   return keys;
 }
 
-std::uint64_t DocumentStore::newestRevision(const std::string& aKey) const
-{
-  const auto repeated = mRepeated.find(aKey);
-  return std::max(mAccepted.at(aKey).mRevision, repeated == mRepeated.end() ? 0 : repeated->second);
-}
-
 void DocumentStore::keep(const Document& aDocument)
 {
-  mRepeated.erase(aDocument.mKey);
   const std::string& key = aDocument.mKey;
   Document& accepted = mAccepted[key];
   mByRevision.erase({ accepted.mRevision, key });
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -24,8 +24,8 @@
 /// and more than once, and no key ever reverts. A configuration shares with the one before it
 /// whatever did not change.
 ///
-/// A document that repeats the accepted text is no news and keeps its older revision, so that it is
-/// not passed on: two readers may find the same content at different revisions.
+/// A document that repeats the accepted text is passed on like any other: a peer may hold one with
+/// another text from in between.
 ///
 /// A service that uses an endpoint of another accepted service is rejected too. Documents are
 /// taken in the order of their revisions, so that the later one loses on every process, and such a
@@ -70,13 +70,11 @@
   void reject(const Document& aDocument, std::vector<ConfigError> aErrors, Faults& aFaults);
   bool retryConflicting(std::shared_ptr<Configuration>& aNext, Faults& aFaults);
   void keep(const Document& aDocument);
-  std::uint64_t newestRevision(const std::string& aKey) const;
   static void apply(const std::string& aKey, DocumentValue aValue, Configuration& aNext);
   static void remove(const std::string& aKey, Configuration& aNext);
 
   std::uint64_t mRevision = 0;
   std::map<std::string, Document> mAccepted;
-  std::map<std::string, std::uint64_t> mRepeated; ///< newest revision that brought the same text
   std::map<std::string, std::uint64_t> mRejected;
   std::map<std::string, Document> mConflicting; ///< newest documents that crossCheck() rejected
   EndpointIndex mEndpoints;                     ///< of the accepted services
