Keep no upstream that operators remove while it is leaving

Such a VM is empty by the operators' word. On the platform an entry may expire while its backend drains, so that it is kept there.

--- a/src/config/retained_routes.cpp
+++ b/src/config/retained_routes.cpp
@@ -59,7 +59,10 @@
     }
   }
   for (const Upstream& upstream : aBefore.mUpstreams) {
-    if (!listed.contains(upstream.mIdentity)) {
+    // Operators remove an upstream that is leaving once it is empty, often to give it to another
+    // service.
+    const bool isEmptied = upstream.mState == UpstreamState::kLeaving && !mKeepsLeaving;
+    if (!listed.contains(upstream.mIdentity) && !isEmptied) {
       add(aNow, GoneUpstream{ aBefore.mName, upstream, 0 });
     }
   }
--- a/src/config/retained_routes.hpp
+++ b/src/config/retained_routes.hpp
@@ -21,8 +21,17 @@
   /// @param aLifetime    longest time that a flow lasts after its route vanished
   /// @param aZoneGrace   time in which established flows of a zone that is taken out may end
   /// @param aStartedAtMs wall clock of this process's start; 0 if not known
-  RetainedRoutes(base::Duration aLifetime, base::Duration aZoneGrace, std::uint64_t aStartedAtMs)
-    : mLifetime(aLifetime), mZoneGrace(aZoneGrace), mStartedAtMs(aStartedAtMs)
+  /// @param aKeepsLeaving an upstream that is leaving may vanish before its flows have ended, and
+  /// is
+  ///                      kept too
+  RetainedRoutes(base::Duration aLifetime,
+                 base::Duration aZoneGrace,
+                 std::uint64_t aStartedAtMs,
+                 bool aKeepsLeaving = false)
+    : mLifetime(aLifetime)
+    , mZoneGrace(aZoneGrace)
+    , mStartedAtMs(aStartedAtMs)
+    , mKeepsLeaving(aKeepsLeaving)
   {
   }
 
@@ -65,6 +74,7 @@
   base::Duration mLifetime;
   base::Duration mZoneGrace;
   std::uint64_t mStartedAtMs;
+  bool mKeepsLeaving;
   std::optional<base::Time> mFirstApplied;
   bool mIsComplete = false;
   ConfigurationPtr mDeclared = std::make_shared<const Configuration>();
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -34,7 +34,10 @@
   , mDecisions(aSettings.mDecisions)
   , mBudget(aSettings.mControlBytesPerSecond, kBudgetBurst)
   , mQueue(mBudget)
-  , mRetained(aSettings.mRetainedLifetime, aSettings.mZoneGrace, aSettings.mStartedAtMs)
+  , mRetained(aSettings.mRetainedLifetime,
+              aSettings.mZoneGrace,
+              aSettings.mStartedAtMs,
+              aSettings.mKeepsLeaving)
   , mService(makeSource(aSurroundings.mSource ? aSurroundings.mSource
                                               : net::configServiceSource(aSettings.mConfigService)))
   , mReadSettings(aSurroundings.mReadSettings)
--- a/src/membership/shell.hpp
+++ b/src/membership/shell.hpp
@@ -25,6 +25,7 @@
   std::uint32_t mControlBytesPerSecond = 20000; ///< budget for control traffic
   base::Duration mRetainedLifetime = std::chrono::hours(12); ///< see config::RetainedRoutes
   base::Duration mZoneGrace{ 0 };                            ///< see config::RetainedRoutes
+  bool mKeepsLeaving = false;                                ///< see config::RetainedRoutes
   std::uint64_t mStartedAtMs = 0; ///< wall clock of this process's start; 0 if not known
 
   auto operator<=>(const ShellSettings&) const = default;
--- a/tests/unit/test_retained_routes.cpp
+++ b/tests/unit/test_retained_routes.cpp
@@ -55,6 +55,19 @@
   BOOST_TEST(!mInForce->mayOpen(upstream));
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_was_leaving_is_empty_when_operators_remove_it)
+{
+  auto configuration = makeConfiguration(3, 1);
+  configuration.mServices.at("logbook").mUpstreams[2].mState = config::UpstreamState::kLeaving;
+  apply(configuration);
+  config::RetainedRoutes keeping(60s, 2s, kStartMs, true);
+  keeping.apply(mNow, share(configuration));
+  apply(makeConfiguration(2, 2));
+  BOOST_TEST(gone() == 0U);
+  mInForce = keeping.apply(mNow, share(makeConfiguration(2, 2)));
+  BOOST_TEST(gone() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(it_is_forgotten_after_the_lifetime_of_a_flow)
 {
   apply(makeConfiguration(3, 1));
