--- a/src/agent/returnable_packets.hpp
+++ b/src/agent/returnable_packets.hpp
@@ -14,7 +14,8 @@
 public:
   explicit ReturnablePackets(std::size_t aCapacity) : mEntries(aCapacity) {}
 
-  /// @brief Remembers aForward without its packet. @return the tag that the packet is to carry
+  /// @brief Remembers aForward, whose packet has been taken out. @return the tag that the packet is
+  /// to carry
   std::uint32_t remember(const wire::Forward& aForward);
 
   /// @brief What was remembered under a tag; empty if it was forgotten or taken before.
