List candidates over all services of an address in one order that every process shares

Ruled out: expired records and missing history (the resets name 10 to 15 candidates, and all processes were at the same revision).

Change: chunks are cut from one list over all services behind the address; a Forward carries a hash of that list. An agent that lists others begins anew with its own list, at most twice, and a flow is reset only by an agent that lists what was asked. This replaces the addition of single unasked upstreams, which ended at 16. ServiceTable prepares a service when it is first looked up, so that agents can use it too.

--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -14,15 +14,16 @@
 /// new flow.
 constexpr std::uint16_t kMaxOpeningChunks = 4;
 
+/// Listings that a packet may be taken along besides its balancer's. While histories are being
+/// learned no two agents may list the same.
+constexpr std::uint8_t kMaxRelisted = 2;
+
 } // namespace
 
-void Chain::configure(config::ConfigurationPtr aConfiguration, const config::Service* aService)
+void Chain::configure(config::ConfigurationPtr aConfiguration, std::string aService)
 {
-  mConfiguration = std::move(aConfiguration);
-  mRoutes.reset();
-  if (aService != nullptr) {
-    mRoutes.emplace(*mConfiguration, *aService);
-  }
+  mTable.apply(std::move(aConfiguration));
+  mService = std::move(aService);
 }
 
 Actions Chain::pass(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward) const
@@ -40,14 +41,11 @@
       return actions;
     }
     askSuspects(aNow, aPacket, next, aForward, actions);
-    const std::size_t asked = aForward.mCandidates.size();
-    if (takeNextChunk(aPacket, aForward)) {
-      next = 0;
-    } else if (addUnasked(aPacket, aForward)) {
-      next = asked;
-    } else {
+    if (!extend(aPacket, aForward)) {
       break;
     }
+    std::erase(aForward.mCandidates, mSelf); // has had the packet
+    next = 0;
   }
   for (Action& action : end(aPacket, aForward)) {
     actions.push_back(std::move(action));
@@ -87,62 +85,65 @@
   }
 }
 
-// The balancer may have started after a service or an upstream vanished that still holds the flow.
-bool Chain::addUnasked(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
+routing::Services Chain::servicesOf(const flow::TcpPacket& aPacket) const
+{
+  routing::Services services;
+  mTable.owners(aPacket.mDestination, aPacket.keyFromCaller().hash(), services);
+  return services;
+}
+
+// Each agent derives the next chunk from its own configuration, and one that lists other candidates
+// than the sender begins anew: the balancer may have started after a service or an upstream
+// vanished that still holds the flow.
+bool Chain::extend(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
 {
-  const bool isInLine = !aForward.mIsCopy && aForward.mInquiry == wire::Inquiry::kNone;
-  if (aPacket.opensFlow() || !isInLine || !mConfiguration || aForward.mChunk > 0) {
+  if (aForward.mIsCopy || aForward.mInquiry != wire::Inquiry::kNone) {
     return false;
   }
-  bool isAdded = false;
-  std::vector<std::string> names = mConfiguration->servicesAt(aPacket.mDestination);
-  if (mRoutes && mRoutes->service().mAddress == aPacket.mDestination) {
-    names.push_back(mRoutes->service().mName);
+  if (aPacket.opensFlow()) {
+    return extendOpening(aPacket, aForward);
   }
-  for (const std::string& name : names) {
-    const auto service = mConfiguration->mServices.find(name);
-    if (service == mConfiguration->mServices.end()) {
-      continue;
-    }
-    for (const config::Upstream& upstream : service->second.mUpstreams) {
-      auto& candidates = aForward.mCandidates;
-      const bool isAsked =
-        upstream.mAgent == mSelf ||
-        std::find(candidates.begin(), candidates.end(), upstream.mAgent) != candidates.end();
-      if (!mConfiguration->mayReceive(upstream)) {
-        // It may hold the flow and can't be asked.
-        aForward.mIsUnanimous = false;
-        continue;
-      }
-      if (isAsked) {
-        continue;
-      }
-      if (candidates.size() >= wire::kMaxCandidates) {
-        aForward.mIsUnanimous = false;
-        return isAdded;
-      }
-      candidates.push_back(upstream.mAgent);
-      isAdded = true;
-    }
+  const routing::Services services = servicesOf(aPacket);
+  const std::uint64_t own = routing::listing(services);
+  if (own != aForward.mListing && aForward.mRelisted < kMaxRelisted) {
+    ++aForward.mRelisted;
+    aForward.mListing = own;
+    aForward.mService = services.size() == 1 ? services.front()->identity() : 0;
+    aForward.mChunk = 0;
+  } else if (own == aForward.mListing && !aForward.mIsComplete) {
+    ++aForward.mChunk;
+  } else {
+    return false;
   }
-  return isAdded;
+  aForward.mCandidates = routing::owningChunk(services, aPacket.keyFromCaller(), aForward.mChunk);
+  aForward.mIsComplete = routing::isLastOwningChunk(services, aForward.mChunk);
+  return !aForward.mCandidates.empty();
 }
 
-bool Chain::takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
+bool Chain::extendOpening(const flow::TcpPacket& aPacket, wire::Forward& aForward) const
 {
-  if (aForward.mIsComplete || !mRoutes) {
-    return false;
-  }
-  if (aPacket.opensFlow() && aForward.mChunk + 1 >= kMaxOpeningChunks) {
+  const routing::ServiceRoutes* routes = mTable.find(mService);
+  if (aForward.mIsComplete || routes == nullptr || aForward.mChunk + 1 >= kMaxOpeningChunks) {
     return false;
   }
   ++aForward.mChunk;
-  aForward.mCandidates =
-    routing::chunkOf(*mRoutes, aPacket.keyFromCaller(), aPacket.opensFlow(), aForward.mChunk);
-  aForward.mIsComplete = routing::isLastChunk(*mRoutes, aForward.mChunk);
+  aForward.mCandidates = routing::openingChunk(*routes, aPacket.keyFromCaller(), aForward.mChunk);
+  aForward.mIsComplete = routing::isLastOpeningChunk(*routes, aForward.mChunk);
   return !aForward.mCandidates.empty();
 }
 
+// True if every upstream that may hold the flow, as far as this agent knows, has denied it.
+bool Chain::isCertain(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const
+{
+  if (!aForward.mIsUnanimous || !aForward.mIsComplete) {
+    return false;
+  }
+  const routing::Services services = servicesOf(aPacket);
+  const bool couldAskAll = std::all_of(
+    services.begin(), services.end(), [](const auto* aRoutes) { return aRoutes->isWhole(); });
+  return couldAskAll && routing::listing(services) == aForward.mListing;
+}
+
 void Chain::askUnsure(const wire::Forward& aForward, wire::Inquiry aInquiry, Actions& aActions)
 {
   for (const flow::Endpoint agent : aForward.mUnsure) {
@@ -171,30 +172,26 @@
 {
   if (aPacket.opensFlow()) {
     // True under any configuration: no upstream was given this SYN.
-    return {
-      SendToCaller{ mFormat.mMakeReset(aPacket) },
-      telemetry::Event{
-        telemetry::EventKind::kFlowRefused,
-        { { "flow", aPacket.keyFromCaller().toString() },
-          { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) },
-          { "asked", std::to_string(aForward.mPosition + 1) },
-          { "candidates", std::to_string(aForward.mCandidates.size()) },
-          { "revision", std::to_string(mConfiguration ? mConfiguration->mRevision : 0) } } }
-    };
+    return { SendToCaller{ mFormat.mMakeReset(aPacket) },
+             telemetry::Event{
+               telemetry::EventKind::kFlowRefused,
+               { { "flow", aPacket.keyFromCaller().toString() },
+                 { "verdict", std::string(toString(flow::RunVerdict::kNotRun)) },
+                 { "asked", std::to_string(aForward.mPosition + 1) },
+                 { "candidates", std::to_string(aForward.mCandidates.size()) },
+                 { "revision", std::to_string(mTable.configuration().mRevision) } } } };
   }
   if (!aForward.mUnsure.empty()) {
     // The upstream of the only one left speaks for all; among several, a RST of one is no verdict.
-    const bool isFinal =
-      aForward.mUnsure.size() == 1 && aForward.mIsUnanimous && aForward.mIsComplete;
+    const bool isFinal = aForward.mUnsure.size() == 1 && isCertain(aPacket, aForward);
     Actions actions;
     askUnsure(aForward, isFinal ? wire::Inquiry::kFinal : wire::Inquiry::kAsk, actions);
     return actions;
   }
   // A RST is never answered with a RST (RFC 9293, section 3.5.2).
   // Otherwise a service or an upstream that nobody here has heard of may hold the flow.
-  const bool isCertain =
-    !mFormat.returnsPackets() || (mConfiguration && mConfiguration->mIsHistoryComplete);
-  if (aPacket.has(flow::kRst) || !aForward.mIsUnanimous || !aForward.mIsComplete || !isCertain) {
+  const bool isKnown = !mFormat.returnsPackets() || mTable.configuration().mIsHistoryComplete;
+  if (aPacket.has(flow::kRst) || !isKnown || !isCertain(aPacket, aForward)) {
     return { DropPacket{ DropReason::kNoOwner } };
   }
   return { SendToCaller{ mFormat.mMakeReset(aPacket) },
@@ -204,7 +201,7 @@
                { "reason", "denied_by_all" },
                { "verdict", std::string(toString(flow::RunVerdict::kMayHaveRun)) },
                { "candidates", std::to_string(aForward.mCandidates.size()) },
-               { "revision", std::to_string(mConfiguration ? mConfiguration->mRevision : 0) } } } };
+               { "revision", std::to_string(mTable.configuration().mRevision) } } } };
 }
 
 } // namespace cornelcross::agent
--- a/src/agent/chain.hpp
+++ b/src/agent/chain.hpp
@@ -4,9 +4,7 @@
 #include "config/configuration.hpp"
 #include "flow/packet_format.hpp"
 #include "membership/failure_detector.hpp"
-#include "routing/service_routes.hpp"
-
-#include <optional>
+#include "routing/service_table.hpp"
 
 namespace cornelcross::agent {
 
@@ -24,8 +22,8 @@
   {
   }
 
-  /// @brief Adopts the configuration and the service in it, which must be part of it.
-  void configure(config::ConfigurationPtr aConfiguration, const config::Service* aService);
+  /// @brief Adopts the configuration. @param aService name of this agent's service; may be empty
+  void configure(config::ConfigurationPtr aConfiguration, std::string aService);
 
   /// @brief Notes that aSelf, which has the packet now, can't tell whether its upstream owns the
   /// flow. The list is bounded: a full one is asked at once and the chain goes on without it.
@@ -43,8 +41,10 @@
   Actions end(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
 
 private:
-  bool addUnasked(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
-  bool takeNextChunk(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
+  bool extend(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
+  bool extendOpening(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
+  bool isCertain(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
+  routing::Services servicesOf(const flow::TcpPacket& aPacket) const;
   void askSuspects(base::Time aNow,
                    const flow::TcpPacket& aPacket,
                    std::size_t aFirst,
@@ -54,8 +54,8 @@
 
   membership::FailureDetector& mPeers;
   const flow::PacketFormat& mFormat;
-  config::ConfigurationPtr mConfiguration;
-  std::optional<routing::ServiceRoutes> mRoutes;
+  routing::ServiceTable mTable{ std::make_shared<const config::Configuration>() };
+  std::string mService;
   flow::Endpoint mSelf;
 };
 
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -68,7 +68,7 @@
   mReportTargets.clear();
   mReporters.clear();
   mAdmission.forgetReports();
-  mChain.configure(mConfiguration, nullptr);
+  std::string chained;
   for (const auto& [name, service] : mConfiguration->mServices) {
     for (const auto& upstream : service.mUpstreams) {
       if (upstream.mAgent == mSettings.mSelf) {
@@ -82,10 +82,11 @@
                              upstream.mState == config::UpstreamState::kJoining,
                              service.mColdStart);
         collectReporters(service);
-        mChain.configure(mConfiguration, &service);
+        chained = name;
       }
     }
   }
+  mChain.configure(mConfiguration, std::move(chained));
   Actions actions;
   // Another VM, or the same one for another service, has none of the flows that are on record.
   const bool isAnother = before && mUpstream &&
@@ -199,7 +200,8 @@
                                 wire::Forward aForward,
                                 DropReason aReason)
 {
-  const bool isInLine = aForward.mInquiry == wire::Inquiry::kNone && mChain.hasNext(aForward);
+  const bool mayGoOn = !aPacket.opensFlow() || mChain.hasNext(aForward);
+  const bool isInLine = aForward.mInquiry == wire::Inquiry::kNone && mayGoOn;
   if (!isInLine || mFlows.find(aPacket.keyFromCaller()) != nullptr) {
     return { DropPacket{ aReason } };
   }
--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -47,32 +47,21 @@
   }
 }
 
-// An established flow of an address with several services may belong to any of them: the shares may
-// have been others when it was opened.
-void Decisions::addOthers(const flow::TcpPacket& aPacket, wire::Forward& aForward)
-{
-  for (std::size_t i = 1; i < mServices.size(); ++i) {
-    aForward.mService = 0;
-    const auto more = routing::chunkOf(*mServices[i], aPacket.keyFromCaller(), false, 0);
-    const std::size_t room =
-      routing::kChunk - std::min(routing::kChunk, aForward.mCandidates.size());
-    const std::size_t taken = std::min(room, more.size());
-    aForward.mCandidates.insert(aForward.mCandidates.end(), more.begin(), more.begin() + taken);
-    aForward.mIsComplete =
-      aForward.mIsComplete && taken == more.size() && routing::isLastChunk(*mServices[i], 0);
-  }
-}
-
 wire::Forward Decisions::address(base::Time aNow, const flow::TcpPacket& aPacket)
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
   wire::Forward forward;
-  forward.mService = mServices.front()->identity();
-  forward.mCandidates = routing::chunkOf(*mServices.front(), key, aPacket.opensFlow(), 0);
-  forward.mIsComplete = routing::isLastChunk(*mServices.front(), 0);
-  if (!aPacket.opensFlow()) {
-    addOthers(aPacket, forward);
+  const routing::ServiceRoutes& chosen = *mServices.front();
+  if (aPacket.opensFlow()) {
+    forward.mCandidates = routing::openingChunk(chosen, key, 0);
+    forward.mIsComplete = routing::isLastOpeningChunk(chosen, 0);
+  } else {
+    forward.mCandidates = routing::owningChunk(mServices, key, 0);
+    forward.mIsComplete = routing::isLastOwningChunk(mServices, 0);
+    forward.mListing = routing::listing(mServices);
   }
+  const bool isOfChosen = aPacket.opensFlow() || mServices.size() == 1;
+  forward.mService = isOfChosen ? chosen.identity() : 0;
   preferOwner(key, forward.mCandidates);
   const std::size_t suspects = mPeers.deferSuspects(forward.mCandidates, 0);
   // A suspect that would have been asked stays in use, so that it goes on being probed.
@@ -98,15 +87,17 @@
     return DropPacket{ DropReason::kMalformed };
   }
   mServices.clear();
-  const auto* chosen = mTable.find(packet->mDestination, packet->keyFromCaller().hash());
-  if (chosen != nullptr) {
+  const std::uint64_t hash = packet->keyFromCaller().hash();
+  if (!packet->opensFlow()) {
+    // The shares may have been others when the flow was opened.
+    mTable.owners(packet->mDestination, hash, mServices);
+  } else if (const auto* chosen = mTable.find(packet->mDestination, hash)) {
     mServices.push_back(chosen);
   }
-  mTable.others(packet->mDestination, chosen, mServices);
-  if (mServices.empty() || (chosen == nullptr && packet->opensFlow())) {
+  if (mServices.empty()) {
     return refuse(*packet, DropReason::kNoService);
   }
-  if (packet->opensFlow() && mMayRefuse && chosen->openers() == 0) {
+  if (packet->opensFlow() && mMayRefuse && mServices.front()->openers() == 0) {
     return refuse(*packet, DropReason::kNoUpstream);
   }
   wire::Forward forward = address(aNow, *packet);
--- a/src/balancer/decisions.hpp
+++ b/src/balancer/decisions.hpp
@@ -51,7 +51,6 @@
 
 private:
   wire::Forward address(base::Time aNow, const flow::TcpPacket& aPacket);
-  void addOthers(const flow::TcpPacket& aPacket, wire::Forward& aForward);
   void preferOwner(const flow::FlowKey& aFlow, std::vector<flow::Endpoint>& aCandidates);
   Action refuse(const flow::TcpPacket& aPacket, DropReason aReason) const;
   bool mayReceive(flow::Endpoint aAgent) const;
@@ -60,7 +59,7 @@
   flow::PacketFormat mFormat;
   bool mMayRefuse;
   routing::ServiceTable mTable;
-  std::vector<const routing::ServiceRoutes*> mServices; ///< behind the address of this packet
+  routing::Services mServices; ///< behind the address of this packet
   routing::OwnerCache mOwners;
   membership::FailureDetector mPeers;
 };
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -19,6 +19,7 @@
   for (const config::Upstream& upstream : mService.mUpstreams) {
     if (aConfiguration.mayReceive(upstream)) {
       mReceivingAgents.push_back(upstream.mAgent);
+      mFingerprint += upstream.mIdentity;
     }
   }
 }
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -25,6 +25,12 @@
   /// @brief Number of upstreams that take new flows.
   std::size_t openers() const { return mOpeners.size(); }
 
+  /// @brief True if every upstream of the service may receive packets.
+  bool isWhole() const { return mReceivers.size() == mService.mUpstreams.size(); }
+
+  /// @brief Hash of the agents whose upstreams may receive packets, whatever their order.
+  std::uint64_t fingerprint() const { return mFingerprint; }
+
   /// @brief True if aAgent is the agent of an upstream that may receive packets. @note O(n)
   bool mayReceive(flow::Endpoint aAgent) const;
 
@@ -38,6 +44,7 @@
   config::Service mService;
   std::vector<flow::Endpoint> mReceivingAgents;
   std::uint64_t mIdentity;
+  std::uint64_t mFingerprint = 0;
   Ranking mReceivers;     ///< upstreams in availability zones that are in
   Ranking mOpeners;       ///< those of them that take new flows
   Ranking mOnlyReceivers; ///< those of them that don't, but are still listed
--- a/src/routing/service_table.cpp
+++ b/src/routing/service_table.cpp
@@ -36,7 +36,7 @@
 ServiceTable::ServiceTable(config::ConfigurationPtr aConfiguration)
   : mConfiguration(std::move(aConfiguration))
 {
-  prepareAll();
+  bindAll();
 }
 
 void ServiceTable::apply(config::ConfigurationPtr aConfiguration)
@@ -44,9 +44,9 @@
   const config::ConfigurationPtr before = std::exchange(mConfiguration, std::move(aConfiguration));
   if (mConfiguration->mZones == before->mZones &&
       mConfiguration->mAddresses == before->mAddresses) {
-    prepareChanged(*before);
+    rebindChanged(*before);
   } else {
-    prepareAll();
+    bindAll();
   }
 }
 
@@ -55,26 +55,38 @@
   auto& slot = mSlots[aService];
   if (!slot) {
     slot = std::make_shared<Slot>();
+    slot->mName = aService;
   }
   return slot;
 }
 
-void ServiceTable::prepare(const config::Service& aService)
+const ServiceRoutes* ServiceTable::routesOf(Slot& aSlot) const
+{
+  if (!aSlot.mRoutes) {
+    const auto service = mConfiguration->mServices.find(aSlot.mName);
+    if (service == mConfiguration->mServices.end()) {
+      return nullptr;
+    }
+    aSlot.mRoutes.emplace(*mConfiguration, service->second);
+  }
+  return &*aSlot.mRoutes;
+}
+
+void ServiceTable::bind(const config::Service& aService)
 {
   const auto slot = slotOf(aService.mName);
-  slot->mRoutes.emplace(*mConfiguration, aService);
   if (aService.mAddress != flow::Endpoint{}) {
     mByAddress.insert_or_assign(aService.mAddress, Target{ { { slot, 1 } }, 1 });
   }
 }
 
-void ServiceTable::prepareAll()
+void ServiceTable::bindAll()
 {
   mByAddress.clear();
   mSlots.clear();
   bindAddresses();
   for (const auto& [name, service] : mConfiguration->mServices) {
-    prepare(service);
+    bind(service);
   }
 }
 
@@ -90,7 +102,7 @@
   }
 }
 
-void ServiceTable::prepareChanged(const config::Configuration& aBefore)
+void ServiceTable::rebindChanged(const config::Configuration& aBefore)
 {
   // All that is gone goes first: a service may have taken over the address of another.
   for (const config::Service* service : difference(aBefore, *mConfiguration)) {
@@ -98,7 +110,7 @@
     slotOf(service->mName)->mRoutes.reset();
   }
   for (const config::Service* service : difference(*mConfiguration, aBefore)) {
-    prepare(*service);
+    bind(*service);
   }
 }
 
@@ -114,24 +126,35 @@
   std::uint64_t point = ((aFlowHash >> kHalf) * found->second.mTotal) >> kHalf;
   for (const Share& share : found->second.mShares) {
     if (point < share.mWeight) {
-      return share.mSlot->mRoutes ? &*share.mSlot->mRoutes : nullptr;
+      return routesOf(*share.mSlot);
     }
     point -= share.mWeight;
   }
   return nullptr;
 }
 
-void ServiceTable::others(flow::Endpoint aAddress,
-                          const ServiceRoutes* aChosen,
-                          std::vector<const ServiceRoutes*>& aOthers) const
+const ServiceRoutes* ServiceTable::find(const std::string& aService) const
 {
+  const auto slot = mSlots.find(aService);
+  return slot == mSlots.end() ? nullptr : routesOf(*slot->second);
+}
+
+void ServiceTable::owners(flow::Endpoint aAddress,
+                          std::uint64_t aFlowHash,
+                          Services& aServices) const
+{
+  const auto* chosen = find(aAddress, aFlowHash);
+  if (chosen != nullptr) {
+    aServices.push_back(chosen);
+  }
   const auto found = mByAddress.find(aAddress);
   if (found == mByAddress.end()) {
     return;
   }
   for (const Share& share : found->second.mShares) {
-    if (share.mSlot->mRoutes && &*share.mSlot->mRoutes != aChosen) {
-      aOthers.push_back(&*share.mSlot->mRoutes);
+    const auto* routes = routesOf(*share.mSlot);
+    if (routes != nullptr && routes != chosen) {
+      aServices.push_back(routes);
     }
   }
 }
--- a/src/routing/service_table.hpp
+++ b/src/routing/service_table.hpp
@@ -1,20 +1,21 @@
 #pragma once
 
-#include "routing/service_routes.hpp"
+#include "routing/candidates.hpp"
 
 #include <memory>
 #include <unordered_map>
 
 namespace cornelcross::routing {
 
-/// @brief Looks services up by the address that callers connect to.
+/// @brief Looks services up by the address that callers connect to. A service is prepared when it
+/// is first looked up.
 class ServiceTable
 {
 public:
   /// @brief Indexes aConfiguration and keeps it alive.
   explicit ServiceTable(config::ConfigurationPtr aConfiguration);
 
-  /// @brief Goes over to aConfiguration, preparing anew only the services that differ.
+  /// @brief Goes over to aConfiguration, forgetting only the services that differ.
   /// @note O(n) comparisons of pointers for n services, unless availability zones or addresses
   /// changed
   void apply(config::ConfigurationPtr aConfiguration);
@@ -22,25 +23,27 @@
   /// @brief Service to which a new flow with this hash to aAddress goes; nullptr if there is none.
   const ServiceRoutes* find(flow::Endpoint aAddress, std::uint64_t aFlowHash = 0) const;
 
-  /// @brief Adds the other services behind aAddress, in which an earlier flow may have been opened,
-  /// to aOthers. @param aChosen what find() gave
-  void others(flow::Endpoint aAddress,
-              const ServiceRoutes* aChosen,
-              std::vector<const ServiceRoutes*>& aOthers) const;
+  /// @brief Service with this name; nullptr if there is none.
+  const ServiceRoutes* find(const std::string& aService) const;
+
+  /// @brief Services in which an established flow to aAddress may have been opened, the one that
+  /// find() gives first. @param aServices receives them
+  void owners(flow::Endpoint aAddress, std::uint64_t aFlowHash, Services& aServices) const;
 
   /// @brief What the table was made from.
   const config::Configuration& configuration() const { return *mConfiguration; }
 
 private:
-  /// Routes of a service; empty while no document describes it.
+  /// A service, which no document may describe yet.
   struct Slot
   {
-    std::optional<ServiceRoutes> mRoutes;
+    std::string mName;
+    std::optional<ServiceRoutes> mRoutes; ///< empty until it is looked up
   };
 
   struct Share
   {
-    std::shared_ptr<const Slot> mSlot;
+    std::shared_ptr<Slot> mSlot;
     std::uint32_t mWeight;
   };
 
@@ -50,11 +53,12 @@
     std::uint64_t mTotal = 0; ///< sum of the weights
   };
 
-  void prepareAll();
-  void prepareChanged(const config::Configuration& aBefore);
-  void prepare(const config::Service& aService);
+  void bindAll();
+  void rebindChanged(const config::Configuration& aBefore);
+  void bind(const config::Service& aService);
   void bindAddresses();
   std::shared_ptr<Slot> slotOf(const std::string& aService);
+  const ServiceRoutes* routesOf(Slot& aSlot) const;
 
   config::ConfigurationPtr mConfiguration;
   std::unordered_map<std::string, std::shared_ptr<Slot>> mSlots;
--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -12,7 +12,9 @@
   flow::Endpoint mIngress;                 ///< balancer that received the packet; empty if unknown
   std::uint64_t mService = 0;              ///< hash of the service's name
   std::uint8_t mPosition = 0;              ///< index of the receiver in mCandidates
-  std::uint16_t mChunk = 0;                ///< index of these candidates among all the service's
+  std::uint16_t mChunk = 0;                ///< index of these candidates among all that are listed
+  std::uint64_t mListing = 0;              ///< routing::listing() of who listed the candidates
+  std::uint8_t mRelisted = 0;              ///< times that an agent began anew with its own listing
   bool mIsComplete = false;                ///< no chunk of candidates follows this one
   bool mIsUnanimous = true;                ///< every candidate asked so far denied the flow
   bool mIsCopy = false;                    ///< for a suspect alone; the chain goes on without it
@@ -32,6 +34,8 @@
              mService,
              mPosition,
              mChunk,
+             mListing,
+             mRelisted,
              mIsComplete,
              mIsUnanimous,
              mIsCopy,
--- a/tests/unit/test_agent_decisions.cpp
+++ b/tests/unit/test_agent_decisions.cpp
@@ -1,6 +1,7 @@
 #include "agent/decisions.hpp"
 #include "unit/support/actions.hpp"
 #include "unit/support/configuration.hpp"
+#include "unit/support/listing.hpp"
 #include "unit/support/packets.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -30,6 +31,7 @@
     forward.mService = config::upstreamIdentity("logbook", "");
     forward.mPosition = aPosition;
     forward.mIsComplete = true;
+    forward.mListing = listingOf(makeConfiguration(3));
     forward.mCandidates = { agentOf(0), agentOf(1), agentOf(2) };
     std::swap(forward.mCandidates[0], forward.mCandidates[aPosition]);
     forward.mPacket = makePacket(aSegment);
