--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -1,5 +1,6 @@
 #include "membership/shell.hpp"
 
+#include "membership/configuration_changes.hpp"
 #include "wire/codec.hpp"
 
 #include <prometheus/counter.h>
@@ -65,19 +66,8 @@
 
 void Shell::putInForce(config::ConfigurationPtr aConfiguration)
 {
-  const auto stateOf = [](const config::Configuration& aIn, const std::string& aZone) {
-    return aIn.zoneIsIn(aZone) ? "in" : aIn.zoneIsClosing(aZone) ? "closing" : "out";
-  };
-  for (const auto& [name, zone] : aConfiguration->mZones) {
-    const std::string before = stateOf(*mInForce, name);
-    const std::string after = stateOf(*aConfiguration, name);
-    if (before != after) {
-      mLog.write({ EventKind::kZoneChanged,
-                   { { "zone", name },
-                     { "before", before },
-                     { "after", after },
-                     { "revision", std::to_string(aConfiguration->mRevision) } } });
-    }
+  for (const telemetry::Event& event : changesBetween(*mInForce, *aConfiguration)) {
+    mLog.write(event);
   }
   mInForce = aConfiguration;
   mListener(std::move(aConfiguration));
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -43,6 +43,10 @@
       return "log_suppressed";
     case EventKind::kZoneChanged:
       return "zone_changed";
+    case EventKind::kAddressChanged:
+      return "address_changed";
+    case EventKind::kServiceChanged:
+      return "service_changed";
     case EventKind::kFlowReset:
       return "flow_reset";
   }
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -29,6 +29,8 @@
   kFlowOffered,
   kLogSuppressed,
   kZoneChanged,
+  kAddressChanged,
+  kServiceChanged,
   kFlowReset,
 };
 
