Build the lists of configuration changes without concatenation

g++ 12 at -O3 rejects "literal + string" here (-Wrestrict, a false positive), so that the deploy build failed, while the ordinary one at -O2 passed.

--- a/src/membership/configuration_changes.cpp
+++ b/src/membership/configuration_changes.cpp
@@ -11,12 +11,23 @@
   return aIn.zoneIsIn(aZone) ? "in" : aIn.zoneIsClosing(aZone) ? "closing" : "out";
 }
 
+/// Appends NAME:COUNT to a list.
+void append(std::string& aList, std::string_view aName, std::size_t aCount)
+{
+  if (!aList.empty()) {
+    aList += ',';
+  }
+  aList += aName;
+  aList += ':';
+  aList += std::to_string(aCount);
+}
+
 std::string sharesOf(const config::AddressRoute* aRoute)
 {
   std::string text;
   if (aRoute != nullptr) {
     for (const config::ServiceShare& share : aRoute->mShares) {
-      text += (text.empty() ? "" : ",") + share.mService + ":" + std::to_string(share.mWeight);
+      append(text, share.mService, share.mWeight);
     }
   }
   return text.empty() ? "none" : text;
@@ -32,7 +43,7 @@
   }
   std::string text;
   for (const auto& [state, count] : counts) {
-    text += (text.empty() ? "" : ",") + std::string(toString(state)) + ":" + std::to_string(count);
+    append(text, toString(state), count);
   }
   return text.empty() ? "none" : text;
 }
