Reset lost flows while a zone is out whose upstreams are younger than its absence

Change: a process notes since when a zone is out; an upstream that started later was never given a flow and needs not be asked. Processes that return with all machines count from their own start.

Tests: returned_packets/after_a_loss_of_power..., an_upstream_that_started_before... (both failed before).

--- a/src/config/availability_zone.hpp
+++ b/src/config/availability_zone.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace cornelcross::config {
@@ -9,7 +10,8 @@
 {
   std::string mName;
   bool mIsIn = true;
-  bool mIsClosing = false; ///< out, but established flows may end what they have begun
+  bool mIsClosing = false;       ///< out, but established flows may end what they have begun
+  std::uint64_t mOutSinceMs = 0; ///< wall clock from which it has had no new flow; 0 if not known
 
   auto operator<=>(const AvailabilityZone&) const = default;
 };
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -16,6 +16,15 @@
   return found != mZones.end() && found->second.mIsClosing;
 }
 
+bool Configuration::mayHoldUnseen(const Upstream& aUpstream) const
+{
+  if (mayReceive(aUpstream)) {
+    return false;
+  }
+  const std::uint64_t since = mZones.at(aUpstream.mZone).mOutSinceMs;
+  return since == 0 || aUpstream.mStartedAtMs < since;
+}
+
 std::vector<std::string> Configuration::servicesAt(flow::Endpoint aAddress) const
 {
   std::vector<std::string> services;
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -48,6 +48,10 @@
     return zoneIsIn(aUpstream.mZone) || zoneIsClosing(aUpstream.mZone);
   }
 
+  /// @brief True if the upstream may hold flows although it may receive no packet: it is older than
+  /// the absence of its zone.
+  bool mayHoldUnseen(const Upstream& aUpstream) const;
+
   /// @brief True if the upstream may be given new flows.
   bool mayOpen(const Upstream& aUpstream) const
   {
--- a/src/config/retained_routes.cpp
+++ b/src/config/retained_routes.cpp
@@ -14,6 +14,10 @@
 /// back at once start their processes within a second or two, and clocks differ.
 constexpr std::uint64_t kSameStartMs = 2000;
 
+/// In which every balancer that is in touch has heard that a zone was taken out (4 s at most), and
+/// the start-up of this process, by which its wall clock is read too early.
+constexpr std::uint64_t kZoneNewsMs = 6000;
+
 bool leadsTo(const AddressRoute& aRoute, const std::string& aService)
 {
   return std::any_of(aRoute.mShares.begin(), aRoute.mShares.end(), [&](const ServiceShare& aShare) {
@@ -134,7 +138,11 @@
   std::erase_if(mClosingZones, [&](const auto& aEntry) { return aNext.zoneIsIn(aEntry.first); });
   // A process that starts can't tell for how long a zone has been out.
   const bool isFirst = mDeclared->mRevision == 0;
+  std::erase_if(mZonesOutSince, [&](const auto& aEntry) { return aNext.zoneIsIn(aEntry.first); });
   for (const auto& [name, zone] : aNext.mZones) {
+    if (!aNext.zoneIsIn(name)) {
+      mZonesOutSince.try_emplace(name, outSince(aNow));
+    }
     if (!isFirst && mZoneGrace > base::Duration::zero() && !aNext.zoneIsIn(name) &&
         mDeclared->zoneIsIn(name)) {
       mClosingZones[name] = aNow + mZoneGrace;
@@ -142,6 +150,18 @@
   }
 }
 
+// All machines that get power back find a zone out that no balancer has sent a new flow to since. A
+// process that starts alone can't know that of the others, but they are told within the same time.
+std::uint64_t RetainedRoutes::outSince(base::Time aNow) const
+{
+  if (mStartedAtMs == 0) {
+    return 0;
+  }
+  const bool isFirst = mDeclared->mRevision == 0;
+  return isFirst ? mStartedAtMs - std::min(mStartedAtMs, kSameStartMs)
+                 : mStartedAtMs + millisecondsBetween(*mFirstApplied, aNow) + kZoneNewsMs;
+}
+
 // After a loss of power, as at the first start of all, no flow is older than the processes.
 bool RetainedRoutes::wasFirst(const Configuration& aDeclared) const
 {
@@ -215,7 +235,8 @@
 
 ConfigurationPtr RetainedRoutes::combine() const
 {
-  if (mUpstreams.empty() && mShares.empty() && mClosingZones.empty() && !mIsComplete) {
+  const bool hasZones = !mClosingZones.empty() || !mZonesOutSince.empty();
+  if (mUpstreams.empty() && mShares.empty() && !hasZones && !mIsComplete) {
     return mDeclared;
   }
   auto combined = std::make_shared<Configuration>(*mDeclared);
@@ -223,6 +244,9 @@
   for (const auto& [name, until] : mClosingZones) {
     combined->mZones.at(name).mIsClosing = true;
   }
+  for (const auto& [name, since] : mZonesOutSince) {
+    combined->mZones.at(name).mOutSinceMs = since;
+  }
   for (const auto& kept : mUpstreams) {
     const auto service = combined->mServices.find(kept.mEntry.mService);
     if (service != combined->mServices.end()) {
--- a/src/config/retained_routes.hpp
+++ b/src/config/retained_routes.hpp
@@ -66,6 +66,7 @@
   void collect(base::Time aNow, const Service& aBefore, const Service* aAfter);
   void forgetListed(const Service& aService);
   void forgetShares(const Configuration& aNext);
+  std::uint64_t outSince(base::Time aNow) const;
   bool wasFirst(const Configuration& aDeclared) const;
   void add(base::Time aSince, GoneUpstream aGone);
   void add(base::Time aSince, GoneShare aGone);
@@ -80,7 +81,8 @@
   ConfigurationPtr mDeclared = std::make_shared<const Configuration>();
   std::vector<Kept<GoneUpstream>> mUpstreams;
   std::vector<Kept<GoneShare>> mShares;
-  std::map<std::string, base::Time> mClosingZones; ///< until when
+  std::map<std::string, base::Time> mClosingZones;     ///< until when
+  std::map<std::string, std::uint64_t> mZonesOutSince; ///< see AvailabilityZone::mOutSinceMs
 };
 
 } // namespace cornelcross::config
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -21,6 +21,7 @@
       mReceivingAgents.push_back(upstream.mAgent);
       mFingerprint += upstream.mIdentity;
     }
+    mIsWhole = mIsWhole && !aConfiguration.mayHoldUnseen(upstream);
   }
 }
 
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -25,8 +25,8 @@
   /// @brief Number of upstreams that take new flows.
   std::size_t openers() const { return mOpeners.size(); }
 
-  /// @brief True if every upstream of the service may receive packets.
-  bool isWhole() const { return mReceivers.size() == mService.mUpstreams.size(); }
+  /// @brief True if every upstream of the service that may hold flows may receive packets.
+  bool isWhole() const { return mIsWhole; }
 
   /// @brief Hash of the agents whose upstreams may receive packets, whatever their order.
   std::uint64_t fingerprint() const { return mFingerprint; }
@@ -45,6 +45,7 @@
   std::vector<flow::Endpoint> mReceivingAgents;
   std::uint64_t mIdentity;
   std::uint64_t mFingerprint = 0;
+  bool mIsWhole = true;
   Ranking mReceivers;     ///< upstreams in availability zones that are in
   Ranking mOpeners;       ///< those of them that take new flows
   Ranking mOnlyReceivers; ///< those of them that don't, but are still listed
--- a/tests/unit/test_returned_packets.cpp
+++ b/tests/unit/test_returned_packets.cpp
@@ -1,4 +1,5 @@
 #include "agent/decisions.hpp"
+#include "config/retained_routes.hpp"
 #include "unit/support/actions.hpp"
 #include "unit/support/configuration.hpp"
 #include "unit/support/listing.hpp"
@@ -38,7 +39,7 @@
     wire::Forward forward;
     forward.mService = config::upstreamIdentity("logbook", "");
     forward.mIsComplete = true;
-    forward.mListing = listingOf(makeConfiguration(3));
+    forward.mListing = mListing;
     forward.mCandidates = { agentOf(0), agentOf(1), agentOf(2) };
     forward.mPosition = aPosition;
     std::swap(forward.mCandidates[0], forward.mCandidates[aPosition]);
@@ -88,6 +89,7 @@
   }
 
   base::Time mNow{ 100s };
+  std::uint64_t mListing = listingOf(makeConfiguration(3));
   agent::Decisions mAgent;
 };
 
@@ -169,6 +171,51 @@
   BOOST_TEST(findAction<agent::SendToCaller>(giveBack(data(2))) == nullptr);
 }
 
+/// All machines lost power while the zone "b" was out; one of its upstreams started at
+/// aStartedAtMs.
+config::ConfigurationPtr afterPowerLoss(std::uint64_t aStartedAtMs)
+{
+  constexpr std::uint64_t kProcessMs = 1000000;
+  config::RetainedRoutes routes(60s, 2s, kProcessMs);
+  auto configuration = makeConfiguration(3, 2);
+  configuration.mZones["b"] = { "b", false };
+  auto& upstreams = configuration.mServices.at("logbook").mUpstreams;
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    upstreams[i].mStartedAtMs = i == 1 ? aStartedAtMs : kProcessMs + 300; // 1 is in "b"
+  }
+  return routes.apply(base::Time{ 1s }, share(configuration));
+}
+
+BOOST_AUTO_TEST_CASE(after_a_loss_of_power_an_upstream_in_a_zone_that_was_out_before_holds_nothing)
+{
+  const auto configuration = afterPowerLoss(1000000 + 400);
+  mListing = listingOf(*configuration);
+  mAgent.apply(mNow, configuration);
+  BOOST_TEST(findAction<agent::SendToCaller>(giveBack(data(2))) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_started_before_its_zone_was_out_may_hold_the_flow)
+{
+  config::RetainedRoutes routes(60s, 2s, 1000000);
+  auto configuration = makeConfiguration(3, 2);
+  auto& upstreams = configuration.mServices.at("logbook").mUpstreams;
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    upstreams[i].mStartedAtMs = 1000000 + 300;
+  }
+  routes.apply(base::Time{ 1s }, share(configuration));
+  configuration.mZones["b"] = { "b", false };
+  configuration.mRevision = 3;
+  mAgent.apply(mNow, routes.apply(base::Time{ 21s }, share(configuration)));
+  mAgent.apply(mNow, routes.expire(base::Time{ 24s }));
+  mListing = listingOf(configuration);
+  BOOST_TEST(findAction<agent::SendToCaller>(giveBack(data(2))) == nullptr);
+  // One that started well after the zone was taken out was never given a flow.
+  upstreams[1].mStartedAtMs = 1000000 + 30000;
+  configuration.mRevision = 4;
+  mAgent.apply(mNow, routes.apply(base::Time{ 31s }, share(configuration)));
+  BOOST_TEST(findAction<agent::SendToCaller>(data(2)) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(an_agent_that_its_balancer_did_not_know_is_asked_at_the_end)
 {
   auto configuration = makeConfiguration(4, 2);
