Name the likely owner of an established flow alone, and offer new flows in the own zone first

Change: where upstreams hand back what they don't hold, the balancer names one agent, the remembered owner or the first by rank, with the hash of its list; an agent that doesn't own the flow lists the others itself. The owner tells the balancer unless it was named. A balancer whose history is incomplete sends no hash, and agents that should know but list otherwise reset nothing. New flows are offered to the agents of the balancer's zone first; the walk over the candidates still passes those above their share. On the product's own packets nothing changes but the zone setting, which is empty there.

--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -14,9 +14,9 @@
 /// new flow.
 constexpr std::uint16_t kMaxOpeningChunks = 4;
 
-/// Listings that a packet may be taken along besides its balancer's. While histories are being
-/// learned no two agents may list the same.
-constexpr std::uint8_t kMaxRelisted = 2;
+/// Listings of agents that a packet may be taken along. While histories are being learned no two
+/// agents may list the same.
+constexpr std::uint8_t kMaxRelisted = 3;
 
 } // namespace
 
@@ -107,16 +107,19 @@
   const std::uint64_t own = routing::listing(services);
   if (own != aForward.mListing && aForward.mRelisted < kMaxRelisted) {
     ++aForward.mRelisted;
+    // Two that should know all list different agents.
+    aForward.mIsUnanimous = aForward.mIsUnanimous && aForward.mListing == 0;
     aForward.mListing = own;
     aForward.mService = services.size() == 1 ? services.front()->identity() : 0;
     aForward.mChunk = 0;
   } else if (own == aForward.mListing && !aForward.mIsComplete) {
-    ++aForward.mChunk;
+    ++aForward.mChunk; // from kNoChunk to the first one
   } else {
     return false;
   }
   aForward.mCandidates = routing::owningChunk(services, aPacket.keyFromCaller(), aForward.mChunk);
   aForward.mIsComplete = routing::isLastOwningChunk(services, aForward.mChunk);
+  aForward.mIsListedByAgent = true;
   return !aForward.mCandidates.empty();
 }
 
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -355,10 +355,7 @@
   editSyn(aForward.mPacket, aPacket);
   flow::Bytes bytes = std::move(aForward.mPacket);
   Actions actions = deliverReturnable(std::move(bytes), aForward);
-  if (aForward.mPosition > 0 && aForward.mIngress.mPort != 0) {
-    actions.emplace_back(SendMessage{
-      aForward.mIngress, wire::OwnerNotice{ aPacket.keyFromCaller(), mSettings.mSelf } });
-  }
+  tellIngress(aPacket.keyFromCaller(), aForward, actions);
   actions.emplace_back(telemetry::Event{
     telemetry::EventKind::kFlowOpened,
     { { "flow", aPacket.keyFromCaller().toString() }, { "upstream", mUpstream->mName } } });
@@ -462,10 +459,7 @@
   noteCaller(aNow, aRecord, aPacket.nextSequence());
   Actions actions;
   actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket });
-  if (aForward.mPosition > 0 && aForward.mIngress.mPort != 0) {
-    actions.emplace_back(
-      SendMessage{ aForward.mIngress, wire::OwnerNotice{ key, mSettings.mSelf } });
-  }
+  tellIngress(key, aForward, actions);
   if (aPacket.has(flow::kRst)) {
     actions.emplace_back(close(aNow, key, aRecord, "caller_reset"));
     mFlows.erase(key);
@@ -478,6 +472,20 @@
   return actions;
 }
 
+// The balancer need not be told what it guessed right.
+void Decisions::tellIngress(const flow::FlowKey& aFlow,
+                            const wire::Forward& aForward,
+                            Actions& aActions)
+{
+  const bool isNamedAlone = aForward.mChunk == wire::kNoChunk;
+  const bool isFirstListed =
+    aForward.mPosition == 0 && aForward.mChunk == 0 && !aForward.mIsListedByAgent;
+  if (!isNamedAlone && !isFirstListed && aForward.mIngress.mPort != 0) {
+    aActions.emplace_back(
+      SendMessage{ aForward.mIngress, wire::OwnerNotice{ aFlow, mSettings.mSelf } });
+  }
+}
+
 void Decisions::trackCallerPayload(base::Time aNow,
                                    FlowRecord& aRecord,
                                    const flow::TcpPacket& aPacket)
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -116,6 +116,7 @@
                       const admission::PassTo& aPass);
   Actions refuse(const wire::Forward& aForward);
   Actions explained(Actions aActions) const;
+  void tellIngress(const flow::FlowKey& aFlow, const wire::Forward& aForward, Actions& aActions);
   bool mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const;
   Actions holdRequest(base::Time aNow,
                       FlowRecord& aRecord,
--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -10,10 +10,12 @@
 Decisions::Decisions(flow::Endpoint aSelf,
                      std::size_t aCacheCapacity,
                      flow::PacketFormat aFormat,
-                     bool aMayRefuse)
+                     bool aMayRefuse,
+                     std::string aZone)
   : mSelf(aSelf)
   , mFormat(std::move(aFormat))
   , mMayRefuse(aMayRefuse)
+  , mZone(std::move(aZone))
   , mTable(std::make_shared<const config::Configuration>())
   , mOwners(aCacheCapacity)
 {
@@ -47,27 +49,71 @@
   }
 }
 
+// An upstream beside its balancer saves callers a way between zones. The agents' walk still passes
+// over one that has more than its share of the load.
+void Decisions::preferZone(std::vector<flow::Endpoint>& aCandidates) const
+{
+  if (!mZone.empty()) {
+    std::stable_partition(aCandidates.begin(), aCandidates.end(), [&](flow::Endpoint aAgent) {
+      return mServices.front()->isInZone(aAgent, mZone);
+    });
+  }
+}
+
+const flow::Endpoint* Decisions::rememberedOwner(const flow::FlowKey& aFlow)
+{
+  const flow::Endpoint* owner = mOwners.find(aFlow);
+  return owner != nullptr && !mPeers.isSuspected(*owner) && mayReceive(*owner) ? owner : nullptr;
+}
+
+// Where upstreams hand back what they don't hold, each agent can find the owner by itself: the list
+// of all that may be it would be most of what is sent.
+void Decisions::listOwners(base::Time aNow, const flow::FlowKey& aFlow, wire::Forward& aForward)
+{
+  const bool isAlone = mFormat.returnsPackets();
+  const bool isCertain = !isAlone || configuration().mIsHistoryComplete;
+  aForward.mListing = isCertain ? routing::listing(mServices) : 0;
+  aForward.mChunk = isAlone ? wire::kNoChunk : std::uint16_t{ 0 };
+  if (const auto* owner = isAlone ? rememberedOwner(aFlow) : nullptr) {
+    aForward.mCandidates = { *owner };
+    return;
+  }
+  aForward.mCandidates = routing::owningChunk(mServices, aFlow, 0);
+  preferZone(aForward.mCandidates);
+  preferOwner(aFlow, aForward.mCandidates);
+  deferSuspects(aNow, aForward.mCandidates);
+  if (isAlone) {
+    aForward.mCandidates.resize(std::min<std::size_t>(aForward.mCandidates.size(), 1));
+    return;
+  }
+  aForward.mIsComplete = routing::isLastOwningChunk(mServices, 0);
+}
+
+void Decisions::deferSuspects(base::Time aNow, std::vector<flow::Endpoint>& aCandidates)
+{
+  const std::size_t suspects = mPeers.deferSuspects(aCandidates, 0);
+  // A suspect that would have been asked stays in use, so that it goes on being probed.
+  for (std::size_t i = aCandidates.size() - suspects; i < aCandidates.size(); ++i) {
+    mPeers.noteUse(aNow, aCandidates[i]);
+  }
+}
+
 wire::Forward Decisions::address(base::Time aNow, const flow::TcpPacket& aPacket)
 {
   const flow::FlowKey key = aPacket.keyFromCaller();
-  wire::Forward forward;
   const routing::ServiceRoutes& chosen = *mServices.front();
-  if (aPacket.opensFlow()) {
-    forward.mCandidates = routing::openingChunk(chosen, key, 0);
-    forward.mIsComplete = routing::isLastOpeningChunk(chosen, 0);
-  } else {
-    forward.mCandidates = routing::owningChunk(mServices, key, 0);
-    forward.mIsComplete = routing::isLastOwningChunk(mServices, 0);
-    forward.mListing = routing::listing(mServices);
+  wire::Forward forward;
+  if (!aPacket.opensFlow()) {
+    forward.mService = mServices.size() == 1 ? chosen.identity() : 0;
+    listOwners(aNow, key, forward);
+    return forward;
   }
-  const bool isOfChosen = aPacket.opensFlow() || mServices.size() == 1;
-  forward.mService = isOfChosen ? chosen.identity() : 0;
+  forward.mService = chosen.identity();
+  forward.mCandidates = routing::openingChunk(chosen, key, 0);
+  forward.mIsComplete = routing::isLastOpeningChunk(chosen, 0);
+  preferZone(forward.mCandidates);
   preferOwner(key, forward.mCandidates);
-  const std::size_t suspects = mPeers.deferSuspects(forward.mCandidates, 0);
-  // A suspect that would have been asked stays in use, so that it goes on being probed.
-  for (std::size_t i = forward.mCandidates.size() - suspects; i < forward.mCandidates.size(); ++i) {
-    mPeers.noteUse(aNow, forward.mCandidates[i]);
-  }
+  deferSuspects(aNow, forward.mCandidates);
   return forward;
 }
 
--- a/src/balancer/decisions.hpp
+++ b/src/balancer/decisions.hpp
@@ -20,10 +20,13 @@
   /// @param aCacheCapacity flows whose owner is remembered, per generation
   /// @param aFormat        layout of callers' packets
   /// @param aMayRefuse     resets reach callers from here
+  /// @param aZone          availability zone whose agents are offered new flows first; empty for
+  ///                       none
   Decisions(flow::Endpoint aSelf,
             std::size_t aCacheCapacity,
             flow::PacketFormat aFormat = flow::ipv4Format(),
-            bool aMayRefuse = false);
+            bool aMayRefuse = false,
+            std::string aZone = {});
 
   /// @brief Puts a configuration into force. One with a lower revision is ignored.
   void apply(config::ConfigurationPtr aConfiguration);
@@ -51,6 +54,10 @@
 
 private:
   wire::Forward address(base::Time aNow, const flow::TcpPacket& aPacket);
+  void listOwners(base::Time aNow, const flow::FlowKey& aFlow, wire::Forward& aForward);
+  void deferSuspects(base::Time aNow, std::vector<flow::Endpoint>& aCandidates);
+  const flow::Endpoint* rememberedOwner(const flow::FlowKey& aFlow);
+  void preferZone(std::vector<flow::Endpoint>& aCandidates) const;
   void preferOwner(const flow::FlowKey& aFlow, std::vector<flow::Endpoint>& aCandidates);
   Action refuse(const flow::TcpPacket& aPacket, DropReason aReason) const;
   bool mayReceive(flow::Endpoint aAgent) const;
@@ -58,6 +65,7 @@
   flow::Endpoint mSelf;
   flow::PacketFormat mFormat;
   bool mMayRefuse;
+  std::string mZone;
   routing::ServiceTable mTable;
   routing::Services mServices; ///< behind the address of this packet
   routing::OwnerCache mOwners;
--- a/src/balancer/shell.cpp
+++ b/src/balancer/shell.cpp
@@ -20,7 +20,8 @@
   , mDecisions(aSettings.mAdvertise,
                aSettings.mCacheCapacity,
                mSurroundings.mFormat,
-               static_cast<bool>(mSurroundings.mCallerPath))
+               static_cast<bool>(mSurroundings.mCallerPath),
+               aSettings.mPreferredZone)
   , mSocket(aSettings.mListen, mSurroundings.maxDatagram())
   , mMembership(
       aSettings.mMembership,
--- a/src/balancer/shell.hpp
+++ b/src/balancer/shell.hpp
@@ -26,6 +26,7 @@
   std::string mName;                     ///< name in logs
   std::uint32_t mFlowSample = 0;         ///< one flow in so many is logged; 0 for none
   std::uint32_t mDrainSeconds = 0;       ///< how long a stopping balancer goes on forwarding
+  std::string mPreferredZone;            ///< agents there are offered new flows first
 
   auto operator<=>(const BalancerSettings&) const = default;
 };
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -19,6 +19,7 @@
   for (const config::Upstream& upstream : mService.mUpstreams) {
     if (aConfiguration.mayReceive(upstream)) {
       mReceivingAgents.push_back(upstream.mAgent);
+      mZones.insert_or_assign(upstream.mAgent, upstream.mZone);
       mFingerprint += upstream.mIdentity;
     }
     mIsWhole = mIsWhole && !aConfiguration.mayHoldUnseen(upstream);
@@ -31,6 +32,12 @@
          mReceivingAgents.end();
 }
 
+bool ServiceRoutes::isInZone(flow::Endpoint aAgent, const std::string& aZone) const
+{
+  const auto zone = mZones.find(aAgent);
+  return zone != mZones.end() && zone->second == aZone;
+}
+
 std::vector<flow::Endpoint> ServiceRoutes::candidates(std::uint64_t aFlowHash,
                                                       bool aOpensFlow,
                                                       std::size_t aLimit) const
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -3,6 +3,8 @@
 #include "config/configuration.hpp"
 #include "routing/ranking.hpp"
 
+#include <unordered_map>
+
 namespace cornelcross::routing {
 
 /// @brief One service prepared for per-packet decisions: ranks and who may receive what.
@@ -34,6 +36,9 @@
   /// @brief True if aAgent is the agent of an upstream that may receive packets. @note O(n)
   bool mayReceive(flow::Endpoint aAgent) const;
 
+  /// @brief True if aAgent is the agent of an upstream in the availability zone.
+  bool isInZone(flow::Endpoint aAgent, const std::string& aZone) const;
+
   /// @brief Agents to ask about a flow, most likely owner first, at most aLimit of them. For a new
   /// flow those that may open it come first; the others can only say whether they own it already.
   std::vector<flow::Endpoint> candidates(std::uint64_t aFlowHash,
@@ -43,6 +48,7 @@
 private:
   config::Service mService;
   std::vector<flow::Endpoint> mReceivingAgents;
+  std::unordered_map<flow::Endpoint, std::string, flow::EndpointHash> mZones; ///< by agent
   std::uint64_t mIdentity;
   std::uint64_t mFingerprint = 0;
   bool mIsWhole = true;
--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -6,6 +6,9 @@
 
 namespace cornelcross::wire {
 
+/// @brief Chunk before the first one: the balancer named the likely owner alone.
+inline constexpr std::uint16_t kNoChunk = 0xFFFF;
+
 /// @brief Passes a caller's packet along the candidates for its flow.
 struct Forward
 {
@@ -13,8 +16,9 @@
   std::uint64_t mService = 0;              ///< hash of the service's name
   std::uint8_t mPosition = 0;              ///< index of the receiver in mCandidates
   std::uint16_t mChunk = 0;                ///< index of these candidates among all that are listed
-  std::uint64_t mListing = 0;              ///< routing::listing() of who listed the candidates
+  std::uint64_t mListing = 0;              ///< routing::listing() of the sender; 0 if uncertain
   std::uint8_t mRelisted = 0;              ///< times that an agent began anew with its own listing
+  bool mIsListedByAgent = false;           ///< the candidates, not by the balancer
   bool mIsComplete = false;                ///< no chunk of candidates follows this one
   bool mIsUnanimous = true;                ///< every candidate asked so far denied the flow
   bool mIsCopy = false;                    ///< for a suspect alone; the chain goes on without it
@@ -36,6 +40,7 @@
              mChunk,
              mListing,
              mRelisted,
+             mIsListedByAgent,
              mIsComplete,
              mIsUnanimous,
              mIsCopy,
--- a/tests/unit/test_returned_packets.cpp
+++ b/tests/unit/test_returned_packets.cpp
@@ -227,6 +227,26 @@
   BOOST_TEST((asked == std::set{ agentOf(1), agentOf(2), agentOf(3) }));
 }
 
+BOOST_AUTO_TEST_CASE(the_balancer_is_told_of_an_owner_that_it_did_not_name)
+{
+  establish();
+  wire::Forward forward;
+  forward.mIngress = *flow::Endpoint::parse("127.0.1.1:7000");
+  forward.mCandidates = { agentOf(0) };
+  forward.mChunk = wire::kNoChunk;
+  forward.mPacket =
+    makeSealed({ kClient, kServiceAddress, kSealedAck, kInitial + 1, kAnswer + 1, 10 });
+  const auto named = mAgent.onForward(mNow, mAgent.revision(), forward);
+  BOOST_TEST(findAction<agent::SendMessage>(named) == nullptr);
+  // The agent that was named listed the others.
+  forward.mChunk = 0;
+  forward.mIsListedByAgent = true;
+  const auto found = mAgent.onForward(mNow, mAgent.revision(), forward);
+  const auto* notice = findAction<agent::SendMessage>(found);
+  BOOST_REQUIRE(notice != nullptr);
+  BOOST_TEST((std::get<wire::OwnerNotice>(notice->mMessage).mOwner == agentOf(0)));
+}
+
 BOOST_AUTO_TEST_CASE(a_copy_for_a_suspect_goes_to_nobody_else)
 {
   wire::Forward copy;
