Measure accept and answer times, visits of new flows, and the age of the configuration

docs/METRICS.md promises counters only; an engineer who looks at a slow request has no distribution to compare it with. Agents now expose histograms of the time from admission to the upstream's SYN-ACK, of the time from a request to its answer's first payload, and of the agents that a new flow visited; every process that of applying a change, and the age of the newest answer of the configuration service that it heard of. Decisions tell observers; they still have no clock and no socket of their own.

Not there: the time from publishing to in force (no document carries when it was published) and the time that held flows waited.

--- a/src/agent/agent_metrics.cpp
+++ b/src/agent/agent_metrics.cpp
@@ -4,6 +4,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 
 namespace cornelcross::agent {
 
@@ -62,9 +63,34 @@
               } },
 };
 
+/// Upper bounds of buckets for agents that a new flow visits; a chunk has 15.
+const std::vector<double> kVisitBounds{ 1, 2, 3, 4, 6, 8, 12, 15, 30, 60, 128 };
+
+double seconds(base::Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+void observe(telemetry::Metrics& aMetrics, Decisions& aDecisions)
+{
+  auto& accepted = aMetrics.histogram("cornelcross_flow_accept_seconds",
+                                      "From a flow's admission until its upstream accepted it",
+                                      telemetry::latencyBounds());
+  auto& answered = aMetrics.histogram("cornelcross_request_answer_seconds",
+                                      "From a request's payload until the first of its answer",
+                                      telemetry::latencyBounds());
+  auto& visits = aMetrics.histogram("cornelcross_flow_agents_visited",
+                                    "Agents that a new flow visited until it was admitted or "
+                                    "refused here",
+                                    kVisitBounds);
+  aDecisions.observe({ [&accepted](base::Duration aTime) { accepted.Observe(seconds(aTime)); },
+                       [&answered](base::Duration aTime) { answered.Observe(seconds(aTime)); },
+                       [&visits](std::uint8_t aCount) { visits.Observe(aCount); } });
+}
+
 } // namespace
 
-AgentMetrics::AgentMetrics(telemetry::Metrics& aMetrics, const Decisions& aDecisions)
+AgentMetrics::AgentMetrics(telemetry::Metrics& aMetrics, Decisions& aDecisions)
   : mDrops(aMetrics)
   , mOpened(aMetrics.counter("cornelcross_flows_opened_total", "Flows admitted"))
   , mClosed(aMetrics.counter("cornelcross_flows_closed_total", "Flows that ended"))
@@ -73,6 +99,7 @@
   , mAdopted(aMetrics.counter("cornelcross_flows_adopted_total",
                               "Flows whose record was made from what the upstream sent"))
 {
+  observe(aMetrics, aDecisions);
   for (const DropReason reason : kDropReasons) {
     mDrops.expect(toString(reason));
   }
--- a/src/agent/agent_metrics.hpp
+++ b/src/agent/agent_metrics.hpp
@@ -10,7 +10,7 @@
 {
 public:
   /// @brief Registers everything; gauges are read from aDecisions when they are asked for.
-  AgentMetrics(telemetry::Metrics& aMetrics, const Decisions& aDecisions);
+  AgentMetrics(telemetry::Metrics& aMetrics, Decisions& aDecisions);
 
   /// @brief Counts what an event tells.
   void note(const telemetry::Event& aEvent);
--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -284,7 +284,22 @@
 
 Actions Decisions::open(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
 {
-  return explained(decideOpening(aNow, aPacket, std::move(aForward)));
+  const std::uint8_t hops = aForward.mHops;
+  Actions actions = explained(decideOpening(aNow, aPacket, std::move(aForward)));
+  noteSettled(actions, hops);
+  return actions;
+}
+
+void Decisions::noteSettled(const Actions& aActions, std::uint8_t aHops) const
+{
+  const bool isSettled = std::any_of(aActions.begin(), aActions.end(), [](const Action& aAction) {
+    const auto* event = std::get_if<telemetry::Event>(&aAction);
+    return event != nullptr && (event->mKind == telemetry::EventKind::kFlowOpened ||
+                                event->mKind == telemetry::EventKind::kFlowRefused);
+  });
+  if (isSettled && mObservers.mOnSettled) {
+    mObservers.mOnSettled(aHops);
+  }
 }
 
 // What this agent, the last one asked, could have done about a flow that is refused.
--- a/src/agent/decisions.hpp
+++ b/src/agent/decisions.hpp
@@ -7,6 +7,7 @@
 #include "agent/chain.hpp"
 #include "agent/flow_table.hpp"
 #include "agent/keep_alive.hpp"
+#include "agent/observers.hpp"
 #include "agent/returnable_packets.hpp"
 #include "agent/upstream_inquiry.hpp"
 #include "agent/upstream_watch.hpp"
@@ -30,6 +31,9 @@
   Decisions(const Decisions&) = delete;
   Decisions& operator=(const Decisions&) = delete;
 
+  /// @brief Tells aObservers of everything from now on.
+  void observe(Observers aObservers) { mObservers = std::move(aObservers); }
+
   /// @brief Puts a configuration into force. One with a lower revision is ignored.
   Actions apply(base::Time aNow, config::ConfigurationPtr aConfiguration);
 
@@ -116,6 +120,7 @@
                       const admission::PassTo& aPass);
   Actions refuse(const wire::Forward& aForward);
   Actions explained(Actions aActions) const;
+  void noteSettled(const Actions& aActions, std::uint8_t aHops) const;
   void tellIngress(const flow::FlowKey& aFlow, const wire::Forward& aForward, Actions& aActions);
   bool mustWait(const FlowRecord& aRecord, const flow::TcpPacket& aPacket) const;
   Actions holdRequest(base::Time aNow,
@@ -161,6 +166,7 @@
 
   AgentSettings mSettings;
   flow::PacketFormat mFormat;
+  Observers mObservers;
   config::ConfigurationPtr mConfiguration;
   std::optional<config::Upstream> mUpstream;
   flow::Endpoint mServiceAddress;
--- a/src/agent/upstream_packets.cpp
+++ b/src/agent/upstream_packets.cpp
@@ -115,6 +115,9 @@
                           Actions& aActions)
 {
   mUpstreamWatch.noteAccepted();
+  if (!aRecord.mIsAnswered && aRecord.mIsExpected && mObservers.mOnAccepted) {
+    mObservers.mOnAccepted(aNow - aRecord.mBusySince);
+  }
   const bool isRenewed =
     aRecord.mPendingInitial != 0 && aPacket.mAcknowledgement == aRecord.mPendingInitial + 1;
   if (isRenewed) {
@@ -141,6 +144,9 @@
   }
   aRecord.mIsBusy = false;
   mAdmission.requestAnswered(aNow, aNow - aRecord.mBusySince);
+  if (mObservers.mOnAnswered) {
+    mObservers.mOnAnswered(aNow - aRecord.mBusySince);
+  }
 }
 
 } // namespace cornelcross::agent
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -3,8 +3,10 @@
 #include "membership/configuration_changes.hpp"
 #include "wire/codec.hpp"
 
+#include <limits>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 
 namespace cornelcross::membership {
 
@@ -50,7 +52,18 @@
         mBudget.charge(net::MainLoop::now(), aBytes + kStreamOverhead);
         count(ControlKind::kPull, "out", aBytes + kStreamOverhead);
       })
+  , mApplySeconds(mMetrics.histogram("cornelcross_config_apply_seconds",
+                                     "From the arrival of new documents until they were in force",
+                                     telemetry::latencyBounds()))
 {
+  auto& age = mMetrics.gauge("cornelcross_config_service_age_seconds",
+                             "Age of the newest answer of the configuration service that this "
+                             "process heard of; NaN before the first");
+  mMetrics.onExpose([this, &age] {
+    const auto known = mDecisions.serviceAge(net::MainLoop::now());
+    age.Set(known ? std::chrono::duration<double>(*known).count()
+                  : std::numeric_limits<double>::quiet_NaN());
+  });
 }
 
 net::DocumentSource Shell::makeSource(const net::DocumentSourceFactory& aFactory)
@@ -243,6 +256,7 @@
 
 void Shell::merge(const config::DocumentBatch& aBatch, const std::string& aSource)
 {
+  const base::Time arrived = net::MainLoop::now();
   const config::ConfigurationPtr before = mStore.configuration();
   for (const auto& error : mStore.merge(aBatch.mRevision, aBatch.mDocuments)) {
     mLog.write({ EventKind::kConfigRejected,
@@ -258,6 +272,7 @@
   mMetrics.gauge("cornelcross_config_revision", "Configuration revision in force")
     .Set(static_cast<double>(mStore.revision()));
   putInForce(mRetained.apply(net::MainLoop::now(), mStore.configuration()));
+  mApplySeconds.Observe(std::chrono::duration<double>(net::MainLoop::now() - arrived).count());
   perform(mDecisions.apply(net::MainLoop::now(), *mStore.configuration(), mStore.rejectedKeys()));
 }
 
--- a/src/membership/shell.hpp
+++ b/src/membership/shell.hpp
@@ -100,6 +100,7 @@
   std::function<net::SettingsChange()> mReadSettings;
   net::PullClient mPullClient;
   net::PullServer mPullServer;
+  prometheus::Histogram& mApplySeconds;
 };
 
 } // namespace cornelcross::membership
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/text_serializer.h>
 
 namespace cornelcross::telemetry {
@@ -20,6 +21,13 @@
   return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(mRegistry).Add(aLabels);
 }
 
+prometheus::Histogram& Metrics::histogram(const std::string& aName,
+                                          const std::string& aHelp,
+                                          const std::vector<double>& aBounds)
+{
+  return prometheus::BuildHistogram().Name(aName).Help(aHelp).Register(mRegistry).Add({}, aBounds);
+}
+
 void Metrics::onExpose(std::function<void()> aHook)
 {
   mHooks.push_back(std::move(aHook));
@@ -33,6 +41,14 @@
   return prometheus::TextSerializer().Serialize(mRegistry.Collect());
 }
 
+// From a fraction of a handshake within a zone to the longest deadline of a caller.
+const std::vector<double>& latencyBounds()
+{
+  static const std::vector<double> bounds{ 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                           0.25,  0.5,    1,     2.5,  5,     10,   30 };
+  return bounds;
+}
+
 void raiseTo(prometheus::Counter& aCounter, double aTotal)
 {
   aCounter.Increment(aTotal - aCounter.Value());
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -9,7 +9,7 @@
 
 namespace cornelcross::telemetry {
 
-/// @brief Counters and gauges of one process in the Prometheus text format.
+/// @brief Counters, gauges and histograms of one process in the Prometheus text format.
 class Metrics
 {
 public:
@@ -25,6 +25,11 @@
                            const std::string& aHelp,
                            const Labels& aLabels = {});
 
+  /// @brief Histogram of this name with these upper bounds of its buckets; made at the first call.
+  prometheus::Histogram& histogram(const std::string& aName,
+                                   const std::string& aHelp,
+                                   const std::vector<double>& aBounds);
+
   /// @brief Calls aHook before each exposition, for values that are read when they are asked for.
   void onExpose(std::function<void()> aHook);
 
@@ -39,4 +44,7 @@
 /// @brief Raises a counter to aTotal, which never falls.
 void raiseTo(prometheus::Counter& aCounter, double aTotal);
 
+/// @brief Upper bounds of buckets for times within a request, in seconds.
+const std::vector<double>& latencyBounds();
+
 } // namespace cornelcross::telemetry
--- a/tests/unit/test_returned_packets.cpp
+++ b/tests/unit/test_returned_packets.cpp
@@ -180,7 +180,7 @@
   auto configuration = makeConfiguration(3, 2);
   configuration.mZones["b"] = { "b", false };
   auto& upstreams = configuration.mServices.at("logbook").mUpstreams;
-  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+  for (const std::size_t i : { 0U, 1U, 2U }) {
     upstreams[i].mStartedAtMs = i == 1 ? aStartedAtMs : kProcessMs + 300; // 1 is in "b"
   }
   return routes.apply(base::Time{ 1s }, share(configuration));
@@ -199,7 +199,7 @@
   config::RetainedRoutes routes(60s, 2s, 1000000);
   auto configuration = makeConfiguration(3, 2);
   auto& upstreams = configuration.mServices.at("logbook").mUpstreams;
-  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+  for (const std::size_t i : { 0U, 1U, 2U }) {
     upstreams[i].mStartedAtMs = 1000000 + 300;
   }
   routes.apply(base::Time{ 1s }, share(configuration));
