--- a/tests/unit/test_configuration_changes.cpp
+++ b/tests/unit/test_configuration_changes.cpp
@@ -14,7 +14,10 @@
 {
   std::string text(toString(aEvent.mKind));
   for (const auto& [name, value] : aEvent.mFields) {
-    text += " " + name + "=" + value;
+    text += ' ';
+    text += name;
+    text += '=';
+    text += value;
   }
   return text;
 }
