Take a packet on along the own list where the sender's differs, and begin anew only at the end

Cause: an agent at the end of a chunk that lists other agents than the sender began anew at once, at most three times. While processes start again one after the other their memories of gone upstreams differ, and a packet could be dropped before the later chunks were asked at all.

Change: it goes on behind the last candidate that it knows from the chunk before, which settles a difference by a few, and begins anew with its own list at the end, at most twice. Nothing is reset after such a mixture.

--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -16,7 +16,7 @@
 
 /// Listings of agents that a packet may be taken along. While histories are being learned no two
 /// agents may list the same.
-constexpr std::uint8_t kMaxRelisted = 3;
+constexpr std::uint8_t kMaxRelisted = 2;
 
 } // namespace
 
@@ -105,20 +105,25 @@
   }
   const routing::Services services = servicesOf(aPacket);
   const std::uint64_t own = routing::listing(services);
-  if (own != aForward.mListing && aForward.mRelisted < kMaxRelisted) {
+  const bool isSame = own == aForward.mListing;
+  const bool hasBegun = aForward.mListing != 0;
+  if (!aForward.mIsComplete && hasBegun) {
+    ++aForward.mChunk; // from kNoChunk to the first one
+    aForward.mIsUnanimous = aForward.mIsUnanimous && isSame;
+  } else if (!isSame && aForward.mRelisted < kMaxRelisted) {
     ++aForward.mRelisted;
     // Two that should know all list different agents.
-    aForward.mIsUnanimous = aForward.mIsUnanimous && aForward.mListing == 0;
+    aForward.mIsUnanimous = aForward.mIsUnanimous && !hasBegun;
     aForward.mListing = own;
     aForward.mService = services.size() == 1 ? services.front()->identity() : 0;
     aForward.mChunk = 0;
-  } else if (own == aForward.mListing && !aForward.mIsComplete) {
-    ++aForward.mChunk; // from kNoChunk to the first one
   } else {
     return false;
   }
-  aForward.mCandidates = routing::owningChunk(services, aPacket.keyFromCaller(), aForward.mChunk);
-  aForward.mIsComplete = routing::isLastOwningChunk(services, aForward.mChunk);
+  routing::OwningChunk chunk =
+    routing::owningChunk(services, aPacket.keyFromCaller(), aForward.mChunk, aForward.mCandidates);
+  aForward.mCandidates = std::move(chunk.mAgents);
+  aForward.mIsComplete = chunk.mIsLast;
   aForward.mIsListedByAgent = true;
   return !aForward.mCandidates.empty();
 }
--- a/src/balancer/decisions.cpp
+++ b/src/balancer/decisions.cpp
@@ -78,7 +78,8 @@
     aForward.mCandidates = { *owner };
     return;
   }
-  aForward.mCandidates = routing::owningChunk(mServices, aFlow, 0);
+  routing::OwningChunk chunk = routing::owningChunk(mServices, aFlow, 0);
+  aForward.mCandidates = std::move(chunk.mAgents);
   preferZone(aForward.mCandidates);
   preferOwner(aFlow, aForward.mCandidates);
   deferSuspects(aNow, aForward.mCandidates);
@@ -86,7 +87,7 @@
     aForward.mCandidates.resize(std::min<std::size_t>(aForward.mCandidates.size(), 1));
     return;
   }
-  aForward.mIsComplete = routing::isLastOwningChunk(mServices, 0);
+  aForward.mIsComplete = chunk.mIsLast;
 }
 
 void Decisions::deferSuspects(base::Time aNow, std::vector<flow::Endpoint>& aCandidates)
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -1,6 +1,7 @@
 #include "routing/candidates.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace cornelcross::routing {
 
@@ -9,55 +10,70 @@
 /// Multiplier of FNV-1a, 64 bits.
 constexpr std::uint64_t kPrime = 0x100000001B3U;
 
-std::vector<flow::Endpoint> ranked(const ServiceRoutes& aRoutes,
+std::size_t receivers(const Services& aServices)
+{
+  std::size_t count = 0;
+  for (const ServiceRoutes* routes : aServices) {
+    count += routes->receivers();
+  }
+  return count;
+}
+
+/// The first aLimit agents of all services.
+std::vector<flow::Endpoint> owners(const Services& aServices,
                                    const flow::FlowKey& aFlow,
-                                   bool aOpensFlow,
-                                   std::size_t aFirst,
                                    std::size_t aLimit)
 {
-  auto agents = aRoutes.candidates(aFlow.hash(), aOpensFlow, aFirst + aLimit);
-  const std::size_t skipped = std::min(aFirst, agents.size());
-  agents.erase(agents.begin(), agents.begin() + static_cast<std::ptrdiff_t>(skipped));
+  std::vector<flow::Endpoint> agents;
+  for (const ServiceRoutes* routes : aServices) {
+    if (agents.size() < aLimit) {
+      const auto more = routes->candidates(aFlow.hash(), false, aLimit - agents.size());
+      agents.insert(agents.end(), more.begin(), more.end());
+    }
+  }
   return agents;
 }
 
+/// An upstream that is gone may have had the agent of one that is listed.
+void removeRepeated(std::vector<flow::Endpoint>& aAgents)
+{
+  std::unordered_set<flow::Endpoint, flow::EndpointHash> seen;
+  std::erase_if(aAgents, [&](flow::Endpoint aAgent) { return !seen.insert(aAgent).second; });
+}
+
 } // namespace
 
 std::vector<flow::Endpoint> openingChunk(const ServiceRoutes& aRoutes,
                                          const flow::FlowKey& aFlow,
                                          std::size_t aChunk)
 {
-  return ranked(aRoutes, aFlow, true, aChunk * kChunk, kChunk);
+  auto agents = aRoutes.candidates(aFlow.hash(), true, (aChunk + 1) * kChunk);
+  const std::size_t first = std::min(aChunk * kChunk, agents.size());
+  agents.erase(agents.begin(), agents.begin() + static_cast<std::ptrdiff_t>(first));
+  return agents;
 }
 
-std::vector<flow::Endpoint> owningChunk(const Services& aServices,
-                                        const flow::FlowKey& aFlow,
-                                        std::size_t aChunk)
+OwningChunk owningChunk(const Services& aServices,
+                        const flow::FlowKey& aFlow,
+                        std::size_t aChunk,
+                        const std::vector<flow::Endpoint>& aBefore)
 {
-  std::size_t skipped = aChunk * kChunk;
-  std::vector<flow::Endpoint> chunk;
-  for (const ServiceRoutes* routes : aServices) {
-    if (chunk.size() == kChunk) {
-      break;
+  // A chunk more, should the other process have listed some that are unknown here, or fewer.
+  const std::size_t limit = (aChunk + 2) * kChunk;
+  std::vector<flow::Endpoint> agents = owners(aServices, aFlow, limit);
+  const bool isAll = agents.size() == receivers(aServices);
+  removeRepeated(agents);
+  std::size_t first = std::min(aChunk * kChunk, agents.size());
+  for (std::size_t i = 0; i < agents.size() && aChunk > 0; ++i) {
+    if (std::find(aBefore.begin(), aBefore.end(), agents[i]) != aBefore.end()) {
+      first = i + 1;
     }
-    if (skipped >= routes->receivers()) {
-      skipped -= routes->receivers();
-      continue;
-    }
-    const auto agents = ranked(*routes, aFlow, false, skipped, kChunk - chunk.size());
-    chunk.insert(chunk.end(), agents.begin(), agents.end());
-    skipped = 0;
-  }
-  return chunk;
-}
-
-bool isLastOwningChunk(const Services& aServices, std::size_t aChunk)
-{
-  std::size_t receivers = 0;
-  for (const ServiceRoutes* routes : aServices) {
-    receivers += routes->receivers();
   }
-  return (aChunk + 1) * kChunk >= receivers;
+  const std::size_t last = std::min(first + kChunk, agents.size());
+  const auto at = [&](std::size_t aIndex) {
+    return agents.begin() + static_cast<std::ptrdiff_t>(aIndex);
+  };
+  return { { at(first), at(last) }, isAll && last == agents.size() };
 }
 
 std::uint64_t listing(const Services& aServices)
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -26,15 +26,24 @@
   return (aChunk + 1) * kChunk >= aRoutes.receivers();
 }
 
+/// @brief Part of the agents that may own an established flow.
+struct OwningChunk
+{
+  std::vector<flow::Endpoint> mAgents; ///< in the order in which they are asked
+  bool mIsLast = true;                 ///< no agent follows
+
+  auto operator<=>(const OwningChunk&) const = default;
+};
+
 /// @brief Agents that may own an established flow: those of the first service, most likely owner
 /// first, then those of the others, cut into chunks. The same on every process whose listing() is
 /// the same.
-std::vector<flow::Endpoint> owningChunk(const Services& aServices,
-                                        const flow::FlowKey& aFlow,
-                                        std::size_t aChunk);
-
-/// @brief True if no chunk for an established flow follows aChunk.
-bool isLastOwningChunk(const Services& aServices, std::size_t aChunk);
+/// @param aBefore agents of the chunk before, as a process with another listing may have cut it;
+///                this one begins behind the last of them
+OwningChunk owningChunk(const Services& aServices,
+                        const flow::FlowKey& aFlow,
+                        std::size_t aChunk,
+                        const std::vector<flow::Endpoint>& aBefore = {});
 
 /// @brief Hash of all that owningChunk() depends on, apart from the flow.
 std::uint64_t listing(const Services& aServices);
--- a/tests/unit/test_agent_chain.cpp
+++ b/tests/unit/test_agent_chain.cpp
@@ -29,8 +29,9 @@
   {
     wire::Forward forward;
     const routing::Services services{ &mRoutes };
-    forward.mCandidates = routing::owningChunk(services, { kCaller, kServiceAddress }, 0);
-    forward.mIsComplete = routing::isLastOwningChunk(services, 0);
+    const auto chunk = routing::owningChunk(services, { kCaller, kServiceAddress }, 0);
+    forward.mCandidates = chunk.mAgents;
+    forward.mIsComplete = chunk.mIsLast;
     forward.mListing = routing::listing(services);
     forward.mPosition = static_cast<std::uint8_t>(aPosition);
     forward.mPacket = makePacket({ kCaller, kServiceAddress, aFlags, 1, 2 });
--- a/tests/unit/test_chain_over_services.cpp
+++ b/tests/unit/test_chain_over_services.cpp
@@ -139,6 +139,34 @@
   }
 }
 
+// Processes that start again one after the other remember different upstreams that are gone.
+BOOST_AUTO_TEST_CASE(a_walk_reaches_everybody_though_every_other_agent_lists_one_more)
+{
+  const auto fewer = withShares({ { "logbook", 500 }, { "other", 500 } });
+  auto more = fewer;
+  config::Upstream gone = more.mServices.at("other").mUpstreams[7];
+  gone.mName += "x";
+  gone.mIdentity = config::upstreamIdentity("other", gone.mName);
+  gone.mState = config::UpstreamState::kGone;
+  gone.mAgent = agentOf(kAll);
+  gone.mAddress = { gone.mAgent.mAddress, 7001 };
+  mAgents[gone.mAgent] = std::make_unique<agent::Decisions>(
+    agent::AgentSettings{ .mSelf = gone.mAgent, .mRecoveryWindow = 60s }, platform::packetFormat());
+  more.mServices.at("other").mUpstreams.push_back(gone);
+  mBalancer.apply(share(fewer));
+  bool hasMore = false;
+  for (auto& [endpoint, agent] : mAgents) {
+    hasMore = !hasMore;
+    agent->apply(base::Time{ 0s }, share(hasMore ? more : fewer));
+  }
+  for (std::uint16_t port = 1; port <= kFlows; ++port) {
+    walk(port);
+    std::set<flow::Endpoint> asked(mAsked.begin(), mAsked.end());
+    asked.erase(gone.mAgent);
+    BOOST_TEST(asked.size() == kAll);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_walk_ends_though_no_two_agents_list_the_same)
 {
   auto configuration = withShares({ { "logbook", 500 }, { "other", 500 } });
