Keep the switch that drops unowned packets from going on along the chain

Ruled out: a weaker check (the scripts with the mechanism are green and unchanged).

Change: the switch marks the packet as one that goes to nobody else.

--- a/src/agent/decisions.cpp
+++ b/src/agent/decisions.cpp
@@ -188,6 +188,7 @@
   if (!base::mechanisms().mPassUnowned && !packet->opensFlow()) {
     aForward.mCandidates.resize(aForward.mPosition + std::size_t{ 1 });
     aForward.mIsComplete = false;
+    aForward.mIsCopy = true;
   }
   return packet->opensFlow() ? onSyn(aNow, *packet, std::move(aForward))
                              : onSegment(aNow, *packet, std::move(aForward));
