Tell a process that is behind the whole list what was removed before it

Ruled out: a document that read the same again (mended before).

Change: a store remembers with which revision it began. Who is older gets all documents, marked as whole, and removes what they lack; not if something was rejected here, nor beyond the size of a reply.

Tests: document_merge, two cases (the removal was not told before).

--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -5,6 +5,7 @@
 #include "config/parse.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cornelcross::config {
@@ -90,6 +91,7 @@
   while (accepted) {
     accepted = retryConflicting(next, faults);
   }
+  mFirst = mFirst == 0 ? aRevision : mFirst;
   const bool reverts = aRevision < mRevision && !base::mechanisms().mKeepRevisions;
   if (aRevision > mRevision || reverts) {
     mRevision = aRevision;
@@ -181,10 +183,43 @@
 
 std::vector<Document> DocumentStore::documentsAfter(std::uint64_t aRevision) const
 {
-  return batchAfter(aRevision, SIZE_MAX).mDocuments;
+  return changesAfter(aRevision, SIZE_MAX).mDocuments;
 }
 
+// A process that began with a whole list doesn't know what was removed before, so that changes
+// alone don't do for one that is older. What was rejected here is lacking too, but not removed.
 DocumentBatch DocumentStore::batchAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const
+{
+  if (aRevision > 0 && aRevision < mFirst && mRejected.empty()) {
+    DocumentBatch whole = changesAfter(0, aMaxBytes);
+    if (whole.mRevision == mRevision) {
+      whole.mIsWhole = true;
+      return whole;
+    }
+  }
+  return changesAfter(aRevision, aMaxBytes);
+}
+
+std::vector<Document> DocumentStore::removalsBy(const DocumentBatch& aBatch) const
+{
+  std::vector<Document> removals;
+  if (!aBatch.mIsWhole) {
+    return removals;
+  }
+  std::set<std::string> listed;
+  for (const Document& document : aBatch.mDocuments) {
+    listed.insert(document.mKey);
+  }
+  for (const auto& [key, document] : mAccepted) {
+    const bool isOlder = document.mText && document.mRevision <= aBatch.mRevision;
+    if (isOlder && !listed.contains(key)) {
+      removals.push_back({ key, aBatch.mRevision, std::nullopt });
+    }
+  }
+  return removals;
+}
+
+DocumentBatch DocumentStore::changesAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const
 {
   DocumentBatch batch{ mRevision, {} };
   std::size_t bytes = 0;
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -45,6 +45,9 @@
   /// of one revision are never parted. Everything up to the batch's revision is in it.
   DocumentBatch batchAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const;
 
+  /// @brief What this store has to remove since a whole batch lacks it.
+  std::vector<Document> removalsBy(const DocumentBatch& aBatch) const;
+
   /// @brief Accepted documents of these keys; a key without one is left out.
   std::vector<Document> documentsOf(const std::vector<std::string>& aKeys) const;
 
@@ -62,6 +65,7 @@
   ConfigurationPtr configuration() const { return mConfiguration; }
 
 private:
+  DocumentBatch changesAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const;
   Configuration& editable(std::shared_ptr<Configuration>& aNext) const;
   /// Faults of rejected documents, by key.
   using Faults = std::map<std::string, std::vector<ConfigError>>;
@@ -74,6 +78,7 @@
   static void remove(const std::string& aKey, Configuration& aNext);
 
   std::uint64_t mRevision = 0;
+  std::uint64_t mFirst = 0; ///< revision of the first merge; removals before it are unknown here
   std::map<std::string, Document> mAccepted;
   std::map<std::string, std::uint64_t> mRejected;
   std::map<std::string, Document> mConflicting; ///< newest documents that crossCheck() rejected
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -258,7 +258,9 @@
 {
   const base::Time arrived = net::MainLoop::now();
   const config::ConfigurationPtr before = mStore.configuration();
-  for (const auto& error : mStore.merge(aBatch.mRevision, aBatch.mDocuments)) {
+  std::vector<config::Document> documents = mStore.removalsBy(aBatch);
+  documents.insert(documents.end(), aBatch.mDocuments.begin(), aBatch.mDocuments.end());
+  for (const auto& error : mStore.merge(aBatch.mRevision, documents)) {
     mLog.write({ EventKind::kConfigRejected,
                  { { "revision", std::to_string(aBatch.mRevision) },
                    { "source", aSource },
--- a/tests/unit/test_document_merge.cpp
+++ b/tests/unit/test_document_merge.cpp
@@ -52,4 +52,32 @@
   BOOST_TEST(holds);
 }
 
+constexpr const char* kAddressText = R"({"services": [{"service": "log", "weight": 1}]})";
+
+// A process that starts while another has yet to hear of a removal reads everything from the
+// service, and is the first that the other one asks.
+BOOST_AUTO_TEST_CASE(a_process_that_began_later_tells_what_was_removed_before)
+{
+  config::DocumentStore old;
+  old.merge(12, { { "address/198.18.0.11:443", 12, kAddressText } });
+  config::DocumentStore fresh;
+  fresh.merge(15, { { "address/198.18.0.13:443", 15, kAddressText } });
+  const auto batch = fresh.batchAfter(old.revision(), SIZE_MAX);
+  auto documents = old.removalsBy(batch);
+  documents.insert(documents.end(), batch.mDocuments.begin(), batch.mDocuments.end());
+  old.merge(batch.mRevision, documents);
+  BOOST_TEST((old.configuration()->mAddresses == fresh.configuration()->mAddresses));
+  // From then on changes alone do, and what is newer than the list stays.
+  BOOST_TEST(!fresh.batchAfter(old.revision(), SIZE_MAX).mIsWhole);
+  old.merge(16, { { "address/198.18.0.14:443", 16, kAddressText } });
+  BOOST_TEST(old.removalsBy(batch).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_lacks_a_faulty_document_does_not_tell_that_it_was_removed)
+{
+  config::DocumentStore fresh;
+  fresh.merge(15, { { "address/198.18.0.13:443", 15, kAddressText }, { "zones", 14, "?" } });
+  BOOST_TEST(!fresh.batchAfter(12, SIZE_MAX).mIsWhole);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
