--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -25,18 +25,6 @@
   return since == 0 || aUpstream.mStartedAtMs < since;
 }
 
-std::vector<std::string> Configuration::servicesAt(flow::Endpoint aAddress) const
-{
-  std::vector<std::string> services;
-  const auto route = mAddresses.find(aAddress);
-  if (route != mAddresses.end()) {
-    for (const ServiceShare& share : route->second.mShares) {
-      services.push_back(share.mService);
-    }
-  }
-  return services;
-}
-
 bool Configuration::serves(const std::string& aService, flow::Endpoint aAddress) const
 {
   return hasShare(aService, aAddress, 0);
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -35,10 +35,6 @@
   /// @brief True if new flows to aAddress may go to the service.
   bool opens(const std::string& aService, flow::Endpoint aAddress) const;
 
-  /// @brief Names of the services to which an AddressRoute leads, those that keep established flows
-  /// only included.
-  std::vector<std::string> servicesAt(flow::Endpoint aAddress) const;
-
   /// @brief Index of the workspace that an address belongs to, plus one; 0 if there is none.
   std::size_t workspaceOf(flow::Ipv4Address aAddress) const;
 
