Give the clients and the server that wait on GLib one deadline

HttpClient was made from the pull client's pattern: a cancellable, a timer that cancels it, and the care of both, a third time in the pull server. net::Deadline holds them. The pull client gives up in one place as well. No behaviour changes.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,27 +1,20 @@
 #include "net/http_client.hpp"
 
+#include "net/deadline.hpp"
+
 namespace cornelcross::net {
 
 struct HttpClient::Call
 {
-  Call() = default;
+  explicit Call(base::Duration aDeadline) : mDeadline(aDeadline) {}
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
-
-  ~Call()
-  {
-    if (mTimer != 0) {
-      g_source_remove(mTimer);
-    }
-    g_clear_object(&mMessage);
-    g_object_unref(mCancellable);
-  }
+  ~Call() { g_clear_object(&mMessage); }
 
   HttpClient* mOwner = nullptr; ///< empty once the call was given up
   Listener mListener;
   SoupMessage* mMessage = nullptr;
-  GCancellable* mCancellable = g_cancellable_new();
-  guint mTimer = 0;
+  Deadline mDeadline;
 };
 
 // Without a proxy resolver, whose settings would be read from the desktop's configuration.
@@ -40,7 +33,7 @@
 {
   if (mCall) {
     mCall->mOwner = nullptr;
-    g_cancellable_cancel(mCall->mCancellable);
+    mCall->mDeadline.cancel();
     mCall.reset();
   }
 }
@@ -49,29 +42,18 @@
 {
   giveUp();
   ++mCalls;
-  mCall = std::make_shared<Call>();
+  mCall = std::make_shared<Call>(aDeadline);
   mCall->mOwner = this;
   mCall->mListener = std::move(aListener);
   mCall->mMessage = soup_message_new(SOUP_METHOD_GET, aUri.c_str());
-  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(aDeadline);
-  mCall->mTimer =
-    g_timeout_add(static_cast<guint>(milliseconds.count()), &HttpClient::onDeadline, mCall.get());
   soup_session_send_and_read_async(mSession,
                                    mCall->mMessage,
                                    G_PRIORITY_DEFAULT,
-                                   mCall->mCancellable,
+                                   mCall->mDeadline.cancellable(),
                                    &HttpClient::onResponse,
                                    new std::shared_ptr<Call>(mCall));
 }
 
-gboolean HttpClient::onDeadline(gpointer aCall)
-{
-  auto* call = static_cast<Call*>(aCall);
-  call->mTimer = 0;
-  g_cancellable_cancel(call->mCancellable);
-  return G_SOURCE_REMOVE;
-}
-
 void HttpClient::onResponse(GObject* aSession, GAsyncResult* aResult, gpointer aCall)
 {
   const std::unique_ptr<std::shared_ptr<Call>> owned(static_cast<std::shared_ptr<Call>*>(aCall));
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -56,7 +56,6 @@
   struct Call;
 
   static void onResponse(GObject* aSession, GAsyncResult* aResult, gpointer aCall);
-  static gboolean onDeadline(gpointer aCall);
   static HttpResult resultOf(SoupMessage* aMessage, GBytes* aBytes, const GError* aError);
 
   SoupSession* mSession;
--- a/src/net/pull_client.hpp
+++ b/src/net/pull_client.hpp
@@ -29,8 +29,8 @@
 private:
   struct Exchange;
 
+  void giveUp();
   static void onConnected(GObject* aClient, GAsyncResult* aResult, gpointer aExchange);
-  static gboolean onDeadline(gpointer aExchange);
   static void finish(const std::shared_ptr<Exchange>& aExchange,
                      std::optional<ReceivedMessage> aReply);
 
--- a/src/net/pull_server.cpp
+++ b/src/net/pull_server.cpp
@@ -1,5 +1,6 @@
 #include "net/pull_server.hpp"
 
+#include "net/deadline.hpp"
 #include "net/stream_message.hpp"
 
 #include <stdexcept>
@@ -9,7 +10,7 @@
 namespace {
 
 constexpr std::size_t kMaxConnections = 32;
-constexpr guint kDeadlineMilliseconds = 5000;
+constexpr base::Duration kDeadline = std::chrono::seconds(5); // for one connection as a whole
 
 } // namespace
 
@@ -27,17 +28,12 @@
   ~Connection()
   {
     --*mOpen;
-    if (mTimer != 0) {
-      g_source_remove(mTimer);
-    }
     g_object_unref(mStream);
-    g_object_unref(mCancellable);
   }
 
   GIOStream* mStream;
   std::shared_ptr<std::size_t> mOpen;
-  GCancellable* mCancellable = g_cancellable_new();
-  guint mTimer = 0;
+  Deadline mDeadline{ kDeadline };
 };
 
 PullServer::PullServer(flow::Endpoint aLocal, Handler aHandler, Sent aSent)
@@ -81,10 +77,8 @@
     return TRUE; // closed without an answer; the peer asks another one
   }
   auto connection = std::make_shared<Connection>(aConnection, self->mOpen);
-  connection->mTimer =
-    g_timeout_add(kDeadlineMilliseconds, &PullServer::onDeadline, connection.get());
   readMessage(g_io_stream_get_input_stream(connection->mStream),
-              connection->mCancellable,
+              connection->mDeadline.cancellable(),
               [self, connection](const std::optional<ReceivedMessage>& aRequest) {
                 if (aRequest) {
                   self->answer(connection, aRequest->mBody);
@@ -93,20 +87,12 @@
   return TRUE;
 }
 
-gboolean PullServer::onDeadline(gpointer aConnection)
-{
-  auto* connection = static_cast<Connection*>(aConnection);
-  connection->mTimer = 0;
-  g_cancellable_cancel(connection->mCancellable);
-  return G_SOURCE_REMOVE;
-}
-
 void PullServer::answer(const std::shared_ptr<Connection>& aConnection,
                         std::span<const std::byte> aRequest) const
 {
   writeMessage(
     g_io_stream_get_output_stream(aConnection->mStream),
-    aConnection->mCancellable,
+    aConnection->mDeadline.cancellable(),
     mHandler(aRequest),
     [sent = mSent, aConnection](std::optional<std::size_t> aCount) { sent(aCount.value_or(0)); });
 }
--- a/src/net/pull_server.hpp
+++ b/src/net/pull_server.hpp
@@ -34,7 +34,6 @@
                              GSocketConnection* aConnection,
                              GObject* aSource,
                              gpointer aSelf);
-  static gboolean onDeadline(gpointer aConnection);
   void answer(const std::shared_ptr<Connection>& aConnection,
               std::span<const std::byte> aRequest) const;
 
