--- a/src/config/cross_check.cpp
+++ b/src/config/cross_check.cpp
@@ -1,5 +1,7 @@
 #include "config/cross_check.hpp"
 
+#include "config/document_key.hpp"
+
 namespace cornelcross::config {
 
 namespace {
@@ -13,7 +15,7 @@
   void check(const std::string* aOwner, const std::string& aPath, const std::string& aWhat)
   {
     if (aOwner != nullptr && *aOwner != mService) {
-      mErrors.push_back({ aPath, aWhat + " that service/" + *aOwner + " does not use" });
+      mErrors.push_back({ aPath, aWhat + " that " + serviceKey(*aOwner) + " does not use" });
     }
   }
 
@@ -26,7 +28,7 @@
 
 std::string upstreamPath(const std::string& aService, std::size_t aIndex)
 {
-  return "service/" + aService + ".upstreams[" + std::to_string(aIndex) + "]";
+  return serviceKey(aService) + ".upstreams[" + std::to_string(aIndex) + "]";
 }
 
 } // namespace
@@ -37,7 +39,7 @@
 {
   Collector collector(aService.mName);
   collector.check(
-    aIndex.serviceAt(aService.mAddress), "service/" + aService.mName + ".address", "an address");
+    aIndex.serviceAt(aService.mAddress), serviceKey(aService.mName) + ".address", "an address");
   for (std::size_t i = 0; i < aService.mUpstreams.size(); ++i) {
     const Upstream& upstream = aService.mUpstreams[i];
     const std::string path = upstreamPath(aService.mName, i);
--- /dev/null
+++ b/src/config/document_key.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "flow/endpoint.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace cornelcross::config {
+
+/// @brief What keys of services and of addresses begin with.
+inline constexpr std::string_view kServicePrefix = "service/";
+inline constexpr std::string_view kAddressPrefix = "address/";
+
+/// @brief Keys of which there is one.
+inline constexpr std::string_view kZonesKey = "zones";
+inline constexpr std::string_view kWorkspacesKey = "workspaces";
+
+/// @brief Key of the document that describes a service.
+inline std::string serviceKey(const std::string& aName)
+{
+  return std::string(kServicePrefix) + aName;
+}
+
+/// @brief Key of the document that tells which services an address leads to.
+inline std::string addressKey(flow::Endpoint aAddress)
+{
+  return std::string(kAddressPrefix) + aAddress.toString();
+}
+
+} // namespace cornelcross::config
--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -2,6 +2,7 @@
 
 #include "base/mechanisms.hpp"
 #include "config/cross_check.hpp"
+#include "config/document_key.hpp"
 #include "config/parse.hpp"
 
 #include <algorithm>
@@ -12,11 +13,6 @@
 
 namespace {
 
-constexpr std::string_view kServicePrefix = "service/";
-constexpr std::string_view kAddressPrefix = "address/";
-constexpr std::string_view kZonesKey = "zones";
-constexpr std::string_view kWorkspacesKey = "workspaces";
-
 bool isServiceKey(const std::string& aKey)
 {
   return aKey.starts_with(kServicePrefix) && aKey.size() > kServicePrefix.size();
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -1,5 +1,6 @@
 #include "config/parse.hpp"
 
+#include "config/document_key.hpp"
 #include "config/json_reader.hpp"
 
 namespace cornelcross::config {
@@ -83,7 +84,7 @@
 
 Parsed<Service> parseService(const std::string& aName, const std::string& aText)
 {
-  const std::string path = "service/" + aName;
+  const std::string path = serviceKey(aName);
   JsonReader reader;
   Service service;
   service.mName = aName;
@@ -107,7 +108,7 @@
 
 Parsed<AddressRoute> parseAddress(const std::string& aAddress, const std::string& aText)
 {
-  const std::string path = "address/" + aAddress;
+  const std::string path = std::string(kAddressPrefix) + aAddress;
   JsonReader reader;
   AddressRoute route;
   const auto address = flow::Endpoint::parse(aAddress);
--- a/src/tools/check/report.cpp
+++ b/src/tools/check/report.cpp
@@ -1,6 +1,7 @@
 #include "tools/check/report.hpp"
 
 #include "config/cross_check.hpp"
+#include "config/document_key.hpp"
 #include "config/document_store.hpp"
 
 namespace cornelcross::tools::check {
@@ -14,7 +15,8 @@
   report.mWarnings = config::findUnlistedZones(*report.mConfiguration);
   for (const auto& [name, service] : report.mConfiguration->mServices) {
     if (service.mUpstreams.empty()) {
-      report.mWarnings.push_back({ "service/" + name + ".upstreams", "at least one upstream" });
+      report.mWarnings.push_back(
+        { config::serviceKey(name) + ".upstreams", "at least one upstream" });
     }
   }
   return report;
