Take work off the packet path that the list over all services had put there

For each packet the balancer ranked twice the agents that it names at most, allocated a set to find repeated ones, looked the address up twice, and ServiceRoutes held its receiving agents both as a list, searched one by one, and as a map by zone. The first chunk ranks what it holds, repeated agents go in place, one look-up serves the choice and the others, and the map alone is left. The candidates are the same; agents that stand twice among the first 15 go on with the next chunk instead of ending there.

--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -1,7 +1,6 @@
 #include "routing/candidates.hpp"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace cornelcross::routing {
 
@@ -37,8 +36,14 @@
 /// An upstream that is gone may have had the agent of one that is listed.
 void removeRepeated(std::vector<flow::Endpoint>& aAgents)
 {
-  std::unordered_set<flow::Endpoint, flow::EndpointHash> seen;
-  std::erase_if(aAgents, [&](flow::Endpoint aAgent) { return !seen.insert(aAgent).second; });
+  // In place: this is done for each packet, and the agents are few.
+  auto end = aAgents.begin();
+  for (const flow::Endpoint agent : aAgents) {
+    if (std::find(aAgents.begin(), end, agent) == end) {
+      *end++ = agent;
+    }
+  }
+  aAgents.erase(end, aAgents.end());
 }
 
 } // namespace
@@ -58,8 +63,8 @@
                         std::size_t aChunk,
                         const std::vector<flow::Endpoint>& aBefore)
 {
-  // A chunk more, should the other process have listed some that are unknown here, or fewer.
-  const std::size_t limit = (aChunk + 2) * kChunk;
+  // After the first, a chunk more, should the other process have listed others or fewer.
+  const std::size_t limit = (aChunk + (aChunk > 0 ? 2 : 1)) * kChunk;
   std::vector<flow::Endpoint> agents = owners(aServices, aFlow, limit);
   const bool isAll = agents.size() == receivers(aServices);
   removeRepeated(agents);
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -1,7 +1,5 @@
 #include "routing/service_routes.hpp"
 
-#include <algorithm>
-
 namespace cornelcross::routing {
 
 ServiceRoutes::ServiceRoutes(const config::Configuration& aConfiguration,
@@ -18,24 +16,17 @@
 {
   for (const config::Upstream& upstream : mService.mUpstreams) {
     if (aConfiguration.mayReceive(upstream)) {
-      mReceivingAgents.push_back(upstream.mAgent);
-      mZones.insert_or_assign(upstream.mAgent, upstream.mZone);
+      mZoneOfReceiver.insert_or_assign(upstream.mAgent, upstream.mZone);
       mFingerprint += upstream.mIdentity;
     }
     mIsWhole = mIsWhole && !aConfiguration.mayHoldUnseen(upstream);
   }
 }
 
-bool ServiceRoutes::mayReceive(flow::Endpoint aAgent) const
-{
-  return std::find(mReceivingAgents.begin(), mReceivingAgents.end(), aAgent) !=
-         mReceivingAgents.end();
-}
-
 bool ServiceRoutes::isInZone(flow::Endpoint aAgent, const std::string& aZone) const
 {
-  const auto zone = mZones.find(aAgent);
-  return zone != mZones.end() && zone->second == aZone;
+  const auto zone = mZoneOfReceiver.find(aAgent);
+  return zone != mZoneOfReceiver.end() && zone->second == aZone;
 }
 
 std::vector<flow::Endpoint> ServiceRoutes::candidates(std::uint64_t aFlowHash,
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -33,10 +33,10 @@
   /// @brief Hash of the agents whose upstreams may receive packets, whatever their order.
   std::uint64_t fingerprint() const { return mFingerprint; }
 
-  /// @brief True if aAgent is the agent of an upstream that may receive packets. @note O(n)
-  bool mayReceive(flow::Endpoint aAgent) const;
+  /// @brief True if aAgent is the agent of an upstream that may receive packets.
+  bool mayReceive(flow::Endpoint aAgent) const { return mZoneOfReceiver.contains(aAgent); }
 
-  /// @brief True if aAgent is the agent of an upstream in the availability zone.
+  /// @brief True if aAgent is the agent of such an upstream in the availability zone.
   bool isInZone(flow::Endpoint aAgent, const std::string& aZone) const;
 
   /// @brief Agents to ask about a flow, most likely owner first, at most aLimit of them. For a new
@@ -47,8 +47,7 @@
 
 private:
   config::Service mService;
-  std::vector<flow::Endpoint> mReceivingAgents;
-  std::unordered_map<flow::Endpoint, std::string, flow::EndpointHash> mZones; ///< by agent
+  std::unordered_map<flow::Endpoint, std::string, flow::EndpointHash> mZoneOfReceiver; ///< by agent
   std::uint64_t mIdentity;
   std::uint64_t mFingerprint = 0;
   bool mIsWhole = true;
--- a/src/routing/service_table.cpp
+++ b/src/routing/service_table.cpp
@@ -116,15 +116,11 @@
 
 // The share is chosen by the flow's hash alone, so that every balancer chooses the same one. The
 // high half is used: the ranks of the upstreams come from the whole hash.
-const ServiceRoutes* ServiceTable::find(flow::Endpoint aAddress, std::uint64_t aFlowHash) const
+const ServiceRoutes* ServiceTable::choose(const Target& aTarget, std::uint64_t aFlowHash) const
 {
-  const auto found = mByAddress.find(aAddress);
-  if (found == mByAddress.end() || found->second.mTotal == 0) {
-    return nullptr;
-  }
   constexpr unsigned kHalf = 32;
-  std::uint64_t point = ((aFlowHash >> kHalf) * found->second.mTotal) >> kHalf;
-  for (const Share& share : found->second.mShares) {
+  std::uint64_t point = ((aFlowHash >> kHalf) * aTarget.mTotal) >> kHalf;
+  for (const Share& share : aTarget.mShares) {
     if (point < share.mWeight) {
       return routesOf(*share.mSlot);
     }
@@ -133,6 +129,12 @@
   return nullptr;
 }
 
+const ServiceRoutes* ServiceTable::find(flow::Endpoint aAddress, std::uint64_t aFlowHash) const
+{
+  const auto found = mByAddress.find(aAddress);
+  return found == mByAddress.end() ? nullptr : choose(found->second, aFlowHash);
+}
+
 const ServiceRoutes* ServiceTable::find(const std::string& aService) const
 {
   const auto slot = mSlots.find(aService);
@@ -143,14 +145,14 @@
                           std::uint64_t aFlowHash,
                           Services& aServices) const
 {
-  const auto* chosen = find(aAddress, aFlowHash);
-  if (chosen != nullptr) {
-    aServices.push_back(chosen);
-  }
   const auto found = mByAddress.find(aAddress);
   if (found == mByAddress.end()) {
     return;
   }
+  const auto* chosen = choose(found->second, aFlowHash);
+  if (chosen != nullptr) {
+    aServices.push_back(chosen);
+  }
   for (const Share& share : found->second.mShares) {
     const auto* routes = routesOf(*share.mSlot);
     if (routes != nullptr && routes != chosen) {
--- a/src/routing/service_table.hpp
+++ b/src/routing/service_table.hpp
@@ -59,6 +59,7 @@
   void bindAddresses();
   std::shared_ptr<Slot> slotOf(const std::string& aService);
   const ServiceRoutes* routesOf(Slot& aSlot) const;
+  const ServiceRoutes* choose(const Target& aTarget, std::uint64_t aFlowHash) const;
 
   config::ConfigurationPtr mConfiguration;
   std::unordered_map<std::string, std::shared_ptr<Slot>> mSlots;
