--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -109,6 +109,16 @@
   return errors;
 }
 
+std::vector<ConfigError> DocumentStore::merge(const DocumentBatch& aBatch)
+{
+  if (!aBatch.mIsWhole) {
+    return merge(aBatch.mRevision, aBatch.mDocuments);
+  }
+  std::vector<Document> documents = removalsBy(aBatch);
+  documents.insert(documents.end(), aBatch.mDocuments.begin(), aBatch.mDocuments.end());
+  return merge(aBatch.mRevision, documents);
+}
+
 Configuration& DocumentStore::editable(std::shared_ptr<Configuration>& aNext) const
 {
   if (!aNext) {
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -38,6 +38,9 @@
   /// @return every fault found
   std::vector<ConfigError> merge(std::uint64_t aRevision, const std::vector<Document>& aDocuments);
 
+  /// @brief The same with a batch; what a whole one lacks is removed.
+  std::vector<ConfigError> merge(const DocumentBatch& aBatch);
+
   /// @brief Accepted documents with a revision above aRevision, tombstones included.
   std::vector<Document> documentsAfter(std::uint64_t aRevision) const;
 
--- a/src/config/retained_routes.cpp
+++ b/src/config/retained_routes.cpp
@@ -136,15 +136,14 @@
 void RetainedRoutes::applyZones(base::Time aNow, const Configuration& aNext)
 {
   std::erase_if(mClosingZones, [&](const auto& aEntry) { return aNext.zoneIsIn(aEntry.first); });
-  // A process that starts can't tell for how long a zone has been out.
-  const bool isFirst = mDeclared->mRevision == 0;
   std::erase_if(mZonesOutSince, [&](const auto& aEntry) { return aNext.zoneIsIn(aEntry.first); });
   for (const auto& [name, zone] : aNext.mZones) {
-    if (!aNext.zoneIsIn(name)) {
-      mZonesOutSince.try_emplace(name, outSince(aNow));
+    if (aNext.zoneIsIn(name)) {
+      continue;
     }
-    if (!isFirst && mZoneGrace > base::Duration::zero() && !aNext.zoneIsIn(name) &&
-        mDeclared->zoneIsIn(name)) {
+    mZonesOutSince.try_emplace(name, outSince(aNow));
+    // A process that starts can't tell for how long a zone has been out.
+    if (!isFirst() && mZoneGrace > base::Duration::zero() && mDeclared->zoneIsIn(name)) {
       mClosingZones[name] = aNow + mZoneGrace;
     }
   }
@@ -157,9 +156,8 @@
   if (mStartedAtMs == 0) {
     return 0;
   }
-  const bool isFirst = mDeclared->mRevision == 0;
-  return isFirst ? mStartedAtMs - std::min(mStartedAtMs, kSameStartMs)
-                 : mStartedAtMs + millisecondsBetween(*mFirstApplied, aNow) + kZoneNewsMs;
+  return isFirst() ? mStartedAtMs - std::min(mStartedAtMs, kSameStartMs)
+                   : mStartedAtMs + millisecondsBetween(*mFirstApplied, aNow) + kZoneNewsMs;
 }
 
 // After a loss of power, as at the first start of all, no flow is older than the processes.
--- a/src/config/retained_routes.hpp
+++ b/src/config/retained_routes.hpp
@@ -18,12 +18,11 @@
 class RetainedRoutes
 {
 public:
-  /// @param aLifetime    longest time that a flow lasts after its route vanished
-  /// @param aZoneGrace   time in which established flows of a zone that is taken out may end
-  /// @param aStartedAtMs wall clock of this process's start; 0 if not known
-  /// @param aKeepsLeaving an upstream that is leaving may vanish before its flows have ended, and
-  /// is
-  ///                      kept too
+  /// @param aLifetime     longest time that a flow lasts after its route vanished
+  /// @param aZoneGrace    time in which established flows of a zone that is taken out may end
+  /// @param aStartedAtMs  wall clock of this process's start; 0 if not known
+  /// @param aKeepsLeaving keeps upstreams that vanish while they are leaving: their flows may not
+  ///                      have ended
   RetainedRoutes(base::Duration aLifetime,
                  base::Duration aZoneGrace,
                  std::uint64_t aStartedAtMs,
@@ -66,6 +65,7 @@
   void collect(base::Time aNow, const Service& aBefore, const Service* aAfter);
   void forgetListed(const Service& aService);
   void forgetShares(const Configuration& aNext);
+  bool isFirst() const { return mDeclared->mRevision == 0; }
   std::uint64_t outSince(base::Time aNow) const;
   bool wasFirst(const Configuration& aDeclared) const;
   void add(base::Time aSince, GoneUpstream aGone);
--- a/src/membership/shell.cpp
+++ b/src/membership/shell.cpp
@@ -258,9 +258,7 @@
 {
   const base::Time arrived = net::MainLoop::now();
   const config::ConfigurationPtr before = mStore.configuration();
-  std::vector<config::Document> documents = mStore.removalsBy(aBatch);
-  documents.insert(documents.end(), aBatch.mDocuments.begin(), aBatch.mDocuments.end());
-  for (const auto& error : mStore.merge(aBatch.mRevision, documents)) {
+  for (const auto& error : mStore.merge(aBatch)) {
     mLog.write({ EventKind::kConfigRejected,
                  { { "revision", std::to_string(aBatch.mRevision) },
                    { "source", aSource },
--- a/tests/unit/test_document_merge.cpp
+++ b/tests/unit/test_document_merge.cpp
@@ -63,9 +63,7 @@
   config::DocumentStore fresh;
   fresh.merge(15, { { "address/198.18.0.13:443", 15, kAddressText } });
   const auto batch = fresh.batchAfter(old.revision(), SIZE_MAX);
-  auto documents = old.removalsBy(batch);
-  documents.insert(documents.end(), batch.mDocuments.begin(), batch.mDocuments.end());
-  old.merge(batch.mRevision, documents);
+  old.merge(batch);
   BOOST_TEST((old.configuration()->mAddresses == fresh.configuration()->mAddresses));
   // From then on changes alone do, and what is newer than the list stays.
   BOOST_TEST(!fresh.batchAfter(old.revision(), SIZE_MAX).mIsWhole);
