--- a/src/agent/actions.cpp
+++ b/src/agent/actions.cpp
@@ -1,5 +1,7 @@
 #include "agent/actions.hpp"
 
+#include <iterator>
+
 namespace cornelcross::agent {
 
 std::string_view toString(DropReason aReason)
@@ -27,4 +29,10 @@
   return "unknown";
 }
 
+void append(Actions& aActions, Actions aMore)
+{
+  aActions.insert(
+    aActions.end(), std::make_move_iterator(aMore.begin()), std::make_move_iterator(aMore.end()));
+}
+
 } // namespace cornelcross::agent
--- a/src/agent/actions.hpp
+++ b/src/agent/actions.hpp
@@ -74,4 +74,7 @@
 /// @brief Steps in their order.
 using Actions = std::vector<Action>;
 
+/// @brief Appends further steps.
+void append(Actions& aActions, Actions aMore);
+
 } // namespace cornelcross::agent
--- a/src/agent/chain.cpp
+++ b/src/agent/chain.cpp
@@ -47,9 +47,7 @@
     std::erase(aForward.mCandidates, mSelf); // has had the packet
     next = 0;
   }
-  for (Action& action : end(aPacket, aForward)) {
-    actions.push_back(std::move(action));
-  }
+  append(actions, end(aPacket, aForward));
   return actions;
 }
 
--- a/src/agent/held_work.cpp
+++ b/src/agent/held_work.cpp
@@ -3,7 +3,6 @@
 #include "flow/sequence.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 /// The part of the decisions that lets new flows and requests wait for room.
@@ -21,12 +20,6 @@
 /// stays below 3 KB/s.
 constexpr std::size_t kReportFanout = 8;
 
-void append(Actions& aActions, Actions aMore)
-{
-  aActions.insert(
-    aActions.end(), std::make_move_iterator(aMore.begin()), std::make_move_iterator(aMore.end()));
-}
-
 } // namespace
 
 Actions Decisions::hold(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward)
--- a/src/agent/returned_packets.cpp
+++ b/src/agent/returned_packets.cpp
@@ -1,6 +1,5 @@
 #include "agent/decisions.hpp"
 
-#include <iterator>
 #include <utility>
 
 /// The part of the decisions that handles packets which the upstream returns.
@@ -70,8 +69,7 @@
   }
   forward->mPacket = std::move(aBytes);
   forward->mWalk = {};
-  Actions passed = mChain.pass(aNow, aPacket, std::move(*forward));
-  std::move(passed.begin(), passed.end(), std::back_inserter(actions));
+  append(actions, mChain.pass(aNow, aPacket, std::move(*forward)));
   return actions;
 }
 
