Look up the owners of flows at all agents at once

Change: after the first page of candidates, 1 of 16 agents of the service asks all agents about all waiting flows in one message each. A denial is valid under any revision; a flow is reset once all agents denied it and none of them had a newer configuration. Agents that can't rule out a flow get its packets. An upstream that is no longer registered and whose agent leaves probes unanswered counts as gone: operators say that it is to be treated so; until now it kept all flows of its service from being reset for 60 s.

--- a/src/agent/agent_metrics.cpp
+++ b/src/agent/agent_metrics.cpp
@@ -59,6 +59,11 @@
     "cornelcross_upstream_eligible",
     "1 if the upstream may be given new flows, else 0",
     [](const FlowManager& aFlowManager) { return aFlowManager.acceptsNewFlows() ? 1.0 : 0.0; } },
+  AgentGauge{ "cornelcross_owner_lookups",
+              "Flows whose owner the agent looks up",
+              [](const FlowManager& aFlowManager) {
+                return static_cast<double>(aFlowManager.ownerLookupCount());
+              } },
   AgentGauge{ "cornelcross_suspected_agents",
               "Other agents that leave probes unanswered",
               [](const FlowManager& aFlowManager) {
--- a/src/agent/candidate_forwarder.cpp
+++ b/src/agent/candidate_forwarder.cpp
@@ -18,6 +18,9 @@
 /// retained state, each of them may have a different list.
 constexpr std::uint8_t kMaxRestarts = 2;
 
+/// Groups of flows of a service. One agent looks up the owners of all flows of a group.
+constexpr std::uint64_t kLookupGroups = 16;
+
 } // namespace
 
 void CandidateForwarder::configure(config::ConfigurationPtr aConfiguration,
@@ -29,7 +32,7 @@
 
 Actions CandidateForwarder::forward(base::Time aNow,
                                     const flow::TcpPacket& aPacket,
-                                    wire::Forward aForward) const
+                                    wire::Forward aForward)
 {
   Actions actions;
   std::size_t next = aForward.mCandidateIndex + std::size_t{ 1 };
@@ -43,6 +46,10 @@
       actions.emplace_back(SendMessage{ agent, std::move(aForward) });
       return actions;
     }
+    if (isLookupDue(aPacket, aForward)) {
+      append(actions, lookUpOwner(aNow, aPacket, std::move(aForward)));
+      return actions;
+    }
     querySuspects(aNow, aPacket, next, aForward, actions);
     if (!loadNextPage(aPacket, aForward)) {
       break;
@@ -54,6 +61,52 @@
   return actions;
 }
 
+// The first page holds the upstreams to which a balancer with the current configuration assigns the
+// flow. Beyond it, one message to each agent finds the owner in one round trip, while a packet that
+// visits the agents one after the other takes a round trip for each and may be lost at each.
+bool CandidateForwarder::isLookupDue(const flow::TcpPacket& aPacket,
+                                     const wire::Forward& aForward) const
+{
+  const bool isFirstPageVisited = aForward.mPage != wire::kNoPage;
+  return mPacketFormat.returnsPackets() && !aPacket.isInitialSyn() && isFirstPageVisited &&
+         !aForward.mIsCopy && aForward.mOwnershipQuery == wire::OwnershipQuery::kNone &&
+         !canResetAfter(aPacket, aForward);
+}
+
+// Few agents look up the flows of a service, so that one message asks about many flows after a
+// failure. Agents with different configurations may select different agents; the selected one
+// always does the lookup.
+Actions CandidateForwarder::lookUpOwner(base::Time aNow,
+                                        const flow::TcpPacket& aPacket,
+                                        wire::Forward aForward)
+{
+  const bool isSelected = aForward.mIsListFromAgent && aForward.mCandidates == std::vector{ mSelf };
+  const flow::Endpoint agent = isSelected ? mSelf : selectLookupAgent(aPacket);
+  if (agent == mSelf) {
+    return mOwnerLookups.start(aNow, aPacket, std::move(aForward));
+  }
+  mFailureDetector.recordUse(aNow, agent);
+  aForward.mCandidates = { agent };
+  aForward.mCandidateIndex = 0;
+  aForward.mIsListFromAgent = true;
+  return { SendMessage{ agent, std::move(aForward) } };
+}
+
+flow::Endpoint CandidateForwarder::selectLookupAgent(const flow::TcpPacket& aPacket) const
+{
+  const routing::CandidateServices services = candidateServices(aPacket);
+  if (services.empty()) {
+    return mSelf;
+  }
+  const std::uint64_t group = aPacket.keyFromCaller().hash() % kLookupGroups;
+  for (const flow::Endpoint agent : services.front()->candidates(group, true, kLookupGroups)) {
+    if (!mFailureDetector.isSuspected(agent)) {
+      return agent;
+    }
+  }
+  return mSelf;
+}
+
 bool CandidateForwarder::hasNextCandidate(const wire::Forward& aForward) const
 {
   const auto next = aForward.mCandidates.begin() + aForward.mCandidateIndex + 1;
@@ -96,6 +149,12 @@
   return services;
 }
 
+std::uint64_t CandidateForwarder::digestOf(const routing::CandidateServices& aServices) const
+{
+  return mPacketFormat.returnsPackets() ? routing::listedDigest(aServices)
+                                        : routing::candidateDigest(aServices);
+}
+
 // Each agent computes the next page from its own configuration. An agent whose candidates differ
 // from the sender's starts again with its own first page: the balancer may have started after the
 // removal of a service or an upstream that still owns the flow.
@@ -108,14 +167,14 @@
     return loadNextNewFlowPage(aPacket, aForward);
   }
   const routing::CandidateServices services = candidateServices(aPacket);
-  const std::uint64_t ownDigest = routing::candidateDigest(services);
+  const std::uint64_t ownDigest = digestOf(services);
   const bool hasSameCandidates = ownDigest == aForward.mCandidateDigest;
   const bool hasBegun = aForward.mCandidateDigest != 0;
   if (!aForward.mIsLastPage && hasBegun) {
     ++aForward.mPage; // wraps from kNoPage to page 0
     aForward.mIsDeniedByAll = aForward.mIsDeniedByAll && hasSameCandidates;
   } else if (!hasSameCandidates && aForward.mRestartCount < kMaxRestarts) {
-    ++aForward.mRestartCount;
+    aForward.mRestartCount += hasBegun ? 1 : 0;
     // Two agents with different candidate lists cannot both list every possible owner.
     aForward.mIsDeniedByAll = aForward.mIsDeniedByAll && !hasBegun;
     aForward.mCandidateDigest = ownDigest;
@@ -159,7 +218,18 @@
     std::all_of(services.begin(), services.end(), [](const auto* aRoutes) {
       return aRoutes->areAllOwnersReachable();
     });
-  return areAllReachable && routing::candidateDigest(services) == aForward.mCandidateDigest;
+  return areAllReachable && digestOf(services) == aForward.mCandidateDigest;
+}
+
+bool CandidateForwarder::canResetAfter(const flow::TcpPacket& aPacket,
+                                       const wire::Forward& aForward) const
+{
+  // A RST is never answered with a RST (RFC 9293, section 3.5.2). Without the complete retained
+  // state, an unlisted service or upstream may own the flow.
+  const bool isOwnerListComplete =
+    !mPacketFormat.returnsPackets() || mServiceTable.configuration().mIsRetainedStateComplete;
+  return !aPacket.has(flow::kRst) && isOwnerListComplete && aForward.mPossibleOwners.empty() &&
+         isDenialConclusive(aPacket, aForward);
 }
 
 void CandidateForwarder::queryPossibleOwners(const wire::Forward& aForward,
@@ -214,11 +284,7 @@
                         actions);
     return actions;
   }
-  // A RST is never answered with a RST (RFC 9293, section 3.5.2). Without the complete retained
-  // state, an unlisted service or upstream may own the flow.
-  const bool isOwnerListComplete =
-    !mPacketFormat.returnsPackets() || mServiceTable.configuration().mIsRetainedStateComplete;
-  if (aPacket.has(flow::kRst) || !isOwnerListComplete || !isDenialConclusive(aPacket, aForward)) {
+  if (!canResetAfter(aPacket, aForward)) {
     return { DropPacket{ DropReason::kNoOwner } };
   }
   return { SendToCaller{ mPacketFormat.mMakeReset(aPacket) },
--- a/src/agent/candidate_forwarder.hpp
+++ b/src/agent/candidate_forwarder.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "agent/actions.hpp"
+#include "agent/owner_lookups.hpp"
 #include "config/configuration.hpp"
 #include "flow/packet_format.hpp"
 #include "membership/failure_detector.hpp"
@@ -15,12 +15,23 @@
   /// @param aFailureDetector detector of agents that do not reply; outlives this object
   /// @param aPacketFormat    layout of packets; outlives this object
   /// @param aSelf            address of this agent
+  /// @param aOwnershipHook   ownership of flows at this agent
   CandidateForwarder(membership::FailureDetector& aFailureDetector,
                      const flow::PacketFormat& aPacketFormat,
-                     flow::Endpoint aSelf)
-    : mFailureDetector(aFailureDetector), mPacketFormat(aPacketFormat), mSelf(aSelf)
+                     flow::Endpoint aSelf,
+                     OwnerLookups::OwnershipHook aOwnershipHook = {})
+    : mFailureDetector(aFailureDetector)
+    , mPacketFormat(aPacketFormat)
+    , mSelf(aSelf)
+    , mOwnerLookups(mSelf,
+                    mFailureDetector,
+                    mPacketFormat,
+                    mServiceTable,
+                    std::move(aOwnershipHook))
   {
   }
+  CandidateForwarder(const CandidateForwarder&) = delete;
+  CandidateForwarder& operator=(const CandidateForwarder&) = delete;
 
   /// @brief Applies a configuration.
   /// @param aServiceName name of this agent's service; empty if no upstream is assigned
@@ -32,7 +43,15 @@
   static Actions addPossibleOwner(flow::Endpoint aSelf, wire::Forward& aForward);
 
   /// @brief Forwards the packet to the next candidate. After the last candidate, see onNoOwner().
-  Actions forward(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward) const;
+  /// If upstreams return packets, the owner of an established flow is looked up after the first
+  /// page of candidates.
+  Actions forward(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+
+  /// @brief Lookups of the owners of flows.
+  OwnerLookups& ownerLookups() { return mOwnerLookups; }
+
+  /// @brief Lookups of the owners of flows.
+  const OwnerLookups& ownerLookups() const { return mOwnerLookups; }
 
   /// @brief True if an unsuspected candidate follows on the packet's page of the candidate list.
   bool hasNextCandidate(const wire::Forward& aForward) const;
@@ -43,8 +62,13 @@
   Actions onNoOwner(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
 
 private:
+  bool isLookupDue(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
+  Actions lookUpOwner(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  flow::Endpoint selectLookupAgent(const flow::TcpPacket& aPacket) const;
   bool loadNextPage(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
   bool loadNextNewFlowPage(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
+  std::uint64_t digestOf(const routing::CandidateServices& aServices) const;
+  bool canResetAfter(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
   bool isDenialConclusive(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
   routing::CandidateServices candidateServices(const flow::TcpPacket& aPacket) const;
   void querySuspects(base::Time aNow,
@@ -61,6 +85,7 @@
   routing::ServiceTable mServiceTable{ std::make_shared<const config::Configuration>() };
   std::string mServiceName;
   flow::Endpoint mSelf;
+  OwnerLookups mOwnerLookups;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/flow_expiry.cpp
+++ b/src/agent/flow_expiry.cpp
@@ -78,6 +78,7 @@
     actions.emplace_back(SendMessage{
       peer, wire::Probe{ ++mLastProbeNonce, mFailureDetector.unansweredProbes(peer) } });
   }
+  append(actions, mCandidateForwarder.ownerLookups().onTimer(aNow));
   return actions;
 }
 
--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -46,7 +46,11 @@
   , mConfiguration(std::make_shared<const config::Configuration>())
   , mAdmission(aSettings.mAdmission)
   , mAdmissionQueue(aSettings.mAdmission.mMaxQueued, aSettings.mAdmission.mMaxQueued)
-  , mCandidateForwarder(mFailureDetector, mPacketFormat, mSettings.mSelf)
+  , mCandidateForwarder(
+      mFailureDetector,
+      mPacketFormat,
+      mSettings.mSelf,
+      [this](base::Time aNow, const flow::FlowKey& aFlow) { return ownershipOf(aNow, aFlow); })
   , mReturnablePackets(kMaxReturnablePackets)
   , mKeepAliveProber(aSettings.mKeepAlive)
 {
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -51,6 +51,19 @@
   /// flow.
   Actions onForwardWhileStarting(base::Time aNow, wire::Forward aForward);
 
+  /// @brief Handles another agent's lookup of the owners of flows.
+  /// @return a message to aFrom
+  Actions onOwnerLookup(base::Time aNow,
+                        flow::Endpoint aFrom,
+                        const wire::OwnerLookup& aLookup) const;
+
+  /// @brief Handles a reply to a lookup of this agent.
+  /// @param aRevision revision of the sender's configuration
+  Actions onOwnerLookupReply(base::Time aNow,
+                             flow::Endpoint aFrom,
+                             std::uint64_t aRevision,
+                             const wire::OwnerLookupReply& aReply);
+
   /// @brief Handles an IP packet that the upstream sent to a caller or returned.
   Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
 
@@ -75,7 +88,8 @@
   /// @brief Sends the upstream's load to other agents of the service. Called about every 250 ms.
   Actions onReportTimer(base::Time aNow);
 
-  /// @brief Probes agents that have not replied lately. Called a few times a second.
+  /// @brief Probes agents that have not replied lately, and continues the lookups of owners. Called
+  /// about every 100 ms.
   Actions onProbeTimer(base::Time aNow);
 
   /// @brief Detector of agents that do not reply.
@@ -105,6 +119,9 @@
   /// @brief Records of the flows that the upstream owns.
   const FlowTable& flows() const { return mFlows; }
 
+  /// @brief Number of flows whose owner this agent looks up.
+  std::size_t ownerLookupCount() const { return mCandidateForwarder.ownerLookups().size(); }
+
 private:
   Actions onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
@@ -120,6 +137,7 @@
   Actions onReturnedPacket(base::Time aNow, const flow::TcpPacket& aPacket, flow::Bytes aBytes);
   void rewriteSyn(flow::Bytes& aBytes, const flow::TcpPacket& aPacket) const;
   Actions onOwnershipQuery(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  wire::FlowOwnership ownershipOf(base::Time aNow, const flow::FlowKey& aFlow) const;
   bool areRecordsComplete(base::Time aNow) const;
   bool hasSeenUpstreamStart(bool aIsFirst, bool aHasRestarted, bool aWasListed) const;
   Actions placeFlow(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
--- a/src/agent/flow_table.cpp
+++ b/src/agent/flow_table.cpp
@@ -8,6 +8,12 @@
   return found == mRecords.end() ? nullptr : &found->second;
 }
 
+const FlowRecord* FlowTable::find(const flow::FlowKey& aFlow) const
+{
+  const auto found = mRecords.find(aFlow);
+  return found == mRecords.end() ? nullptr : &found->second;
+}
+
 FlowRecord& FlowTable::insert(const flow::FlowKey& aFlow, const FlowRecord& aRecord)
 {
   return mRecords.insert_or_assign(aFlow, aRecord).first->second;
--- a/src/agent/flow_table.hpp
+++ b/src/agent/flow_table.hpp
@@ -15,6 +15,9 @@
   /// @brief Returns the record of a flow, or nullptr if the flow has no record.
   FlowRecord* find(const flow::FlowKey& aFlow);
 
+  /// @brief Returns the record of a flow, or nullptr if the flow has no record.
+  const FlowRecord* find(const flow::FlowKey& aFlow) const;
+
   /// @brief Adds or replaces the record of a flow.
   FlowRecord& insert(const flow::FlowKey& aFlow, const FlowRecord& aRecord);
 
--- a/src/agent/runtime.cpp
+++ b/src/agent/runtime.cpp
@@ -182,6 +182,11 @@
   }
   if (auto* forward = std::get_if<wire::Forward>(&frame.mMessage)) {
     onForward(frame.mRevision, std::move(*forward));
+  } else if (const auto* lookup = std::get_if<wire::OwnerLookup>(&frame.mMessage)) {
+    perform(mFlowManager.onOwnerLookup(net::MainLoop::now(), aFrom, *lookup));
+  } else if (const auto* lookupReply = std::get_if<wire::OwnerLookupReply>(&frame.mMessage)) {
+    perform(
+      mFlowManager.onOwnerLookupReply(net::MainLoop::now(), aFrom, frame.mRevision, *lookupReply));
   } else if (const auto* report = std::get_if<wire::LoadReport>(&frame.mMessage)) {
     mFlowManager.onLoadReport(net::MainLoop::now(), *report);
   }
--- a/src/balancer/packet_router.cpp
+++ b/src/balancer/packet_router.cpp
@@ -78,7 +78,9 @@
 {
   const bool listsOnlyLikelyOwner = mPacketFormat.returnsPackets();
   const bool isDigestReliable = !listsOnlyLikelyOwner || configuration().mIsRetainedStateComplete;
-  aForward.mCandidateDigest = isDigestReliable ? routing::candidateDigest(mCandidateServices) : 0;
+  const std::uint64_t digest = listsOnlyLikelyOwner ? routing::listedDigest(mCandidateServices)
+                                                    : routing::candidateDigest(mCandidateServices);
+  aForward.mCandidateDigest = isDigestReliable ? digest : 0;
   aForward.mPage = listsOnlyLikelyOwner ? wire::kNoPage : std::uint16_t{ 0 };
   if (const auto* owner = listsOnlyLikelyOwner ? cachedOwner(aFlow) : nullptr) {
     aForward.mCandidates = { *owner };
--- a/src/flow/flow_key.hpp
+++ b/src/flow/flow_key.hpp
@@ -17,6 +17,12 @@
 
   /// @brief 64-bit hash (XXH3), identical on every VM.
   std::uint64_t hash() const;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mCaller, mService);
+  }
 };
 
 /// @brief Hash functor for unordered containers.
--- a/src/membership/control_budget.cpp
+++ b/src/membership/control_budget.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Fraction of the capacity that each kind leaves to the kinds of higher priority.
-constexpr std::array<double, kControlKinds> kReservedFraction{ 0, 0, 0, 0.1, 0.2, 0.4, 0.6 };
+constexpr std::array<double, kControlKinds> kReservedFraction{ 0, 0, 0, 0.1, 0.2, 0.3, 0.4, 0.6 };
 
 /// Maximum debt by charge(), as a fraction of the capacity.
 constexpr double kMaxDebtFraction = 0.5;
--- a/src/membership/control_kind.cpp
+++ b/src/membership/control_kind.cpp
@@ -25,6 +25,16 @@
   return ControlKind::kProbe;
 }
 
+std::optional<ControlKind> kindOf(const wire::OwnerLookup&)
+{
+  return ControlKind::kOwnerLookup;
+}
+
+std::optional<ControlKind> kindOf(const wire::OwnerLookupReply&)
+{
+  return ControlKind::kOwnerLookup;
+}
+
 std::optional<ControlKind> kindOf(const wire::LoadReport&)
 {
   return ControlKind::kLoadReport;
@@ -50,6 +60,8 @@
       return "heartbeat";
     case ControlKind::kProbe:
       return "probe";
+    case ControlKind::kOwnerLookup:
+      return "owner_lookup";
     case ControlKind::kLoadReport:
       return "load_report";
     case ControlKind::kOwnerUpdate:
--- a/src/membership/control_kind.hpp
+++ b/src/membership/control_kind.hpp
@@ -15,12 +15,13 @@
   kServiceRead,  ///< reads of the configuration service
   kHeartbeat,    ///< heartbeats that announce a revision to a peer
   kProbe,        ///< liveness probes of agents, and the replies
+  kOwnerLookup,  ///< lookups of the owners of flows, and the replies
   kLoadReport,   ///< exchange of load between the agents of a service
   kOwnerUpdate,  ///< owners of flows, as hints for the owner caches of balancers
 };
 
 /// @brief Number of enumerators of ControlKind.
-inline constexpr std::size_t kControlKinds = 7;
+inline constexpr std::size_t kControlKinds = 8;
 
 /// @brief Name of the kind in metric labels.
 std::string_view toString(ControlKind aKind);
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -48,6 +48,17 @@
   aAgents.erase(end, aAgents.end());
 }
 
+std::uint64_t digestOf(const CandidateServices& aServices,
+                       std::uint64_t (ServiceRoutes::*aSetHash)() const)
+{
+  std::uint64_t hash = 0;
+  for (const ServiceRoutes* routes : aServices) {
+    hash = (hash ^ routes->nameHash()) * kFnvPrime;
+    hash = (hash ^ (routes->*aSetHash)()) * kFnvPrime;
+  }
+  return hash;
+}
+
 } // namespace
 
 std::vector<flow::Endpoint> newFlowCandidates(const ServiceRoutes& aRoutes,
@@ -87,12 +98,12 @@
 
 std::uint64_t candidateDigest(const CandidateServices& aServices)
 {
-  std::uint64_t hash = 0;
-  for (const ServiceRoutes* routes : aServices) {
-    hash = (hash ^ routes->nameHash()) * kFnvPrime;
-    hash = (hash ^ routes->upstreamSetHash()) * kFnvPrime;
-  }
-  return hash;
+  return digestOf(aServices, &ServiceRoutes::upstreamSetHash);
+}
+
+std::uint64_t listedDigest(const CandidateServices& aServices)
+{
+  return digestOf(aServices, &ServiceRoutes::listedSetHash);
 }
 
 } // namespace cornelcross::routing
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -49,4 +49,8 @@
 /// @brief Hash of all inputs of ownerCandidates() apart from the flow and the page.
 std::uint64_t candidateDigest(const CandidateServices& aServices);
 
+/// @brief As candidateDigest(), without the upstreams that no document lists any more. Processes
+/// that started at different times retain different ones of these.
+std::uint64_t listedDigest(const CandidateServices& aServices);
+
 } // namespace cornelcross::routing
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -17,8 +17,16 @@
 {
   for (const config::Upstream& upstream : mService.mUpstreams) {
     if (aConfiguration.acceptsPackets(upstream)) {
-      mZoneByAgent.insert_or_assign(upstream.mAgent, upstream.mZone);
+      const bool isListed = upstream.mState != config::UpstreamState::kRemoved;
+      const bool isFirst = mZoneByAgent.insert_or_assign(upstream.mAgent, upstream.mZone).second;
+      if (isFirst) {
+        mReceiverAgents.push_back(upstream.mAgent);
+      }
+      if (isFirst && !isListed) {
+        mRemovedAgents.insert(upstream.mAgent);
+      }
       mUpstreamSetHash += upstream.mIdentity;
+      mListedSetHash += isListed ? upstream.mIdentity : 0;
     }
     mAreAllOwnersReachable =
       mAreAllOwnersReachable && !aConfiguration.mayOwnFlowsWhileOut(upstream);
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -4,6 +4,7 @@
 #include "routing/ranking.hpp"
 
 #include <unordered_map>
+#include <unordered_set>
 
 namespace cornelcross::routing {
 
@@ -34,9 +35,19 @@
   /// @brief Hash of the upstreams that accept packets, independent of their order.
   std::uint64_t upstreamSetHash() const { return mUpstreamSetHash; }
 
+  /// @brief As upstreamSetHash(), without upstreams that no document lists any more.
+  std::uint64_t listedSetHash() const { return mListedSetHash; }
+
   /// @brief True if aAgent is the agent of an upstream that accepts packets.
   bool acceptsPackets(flow::Endpoint aAgent) const { return mZoneByAgent.contains(aAgent); }
 
+  /// @brief Agents of the upstreams that accept packets.
+  const std::vector<flow::Endpoint>& receiverAgents() const { return mReceiverAgents; }
+
+  /// @brief True if aAgent is the agent of an upstream that accepts packets but that no document
+  /// lists any more.
+  bool isRemoved(flow::Endpoint aAgent) const { return mRemovedAgents.contains(aAgent); }
+
   /// @brief True if aAgent is the agent of an upstream that accepts packets in availability zone
   /// aZone.
   bool isInZone(flow::Endpoint aAgent, const std::string& aZone) const;
@@ -51,8 +62,11 @@
 private:
   config::Service mService;
   std::unordered_map<flow::Endpoint, std::string, flow::EndpointHash> mZoneByAgent;
+  std::vector<flow::Endpoint> mReceiverAgents;
+  std::unordered_set<flow::Endpoint, flow::EndpointHash> mRemovedAgents;
   std::uint64_t mNameHash;
   std::uint64_t mUpstreamSetHash = 0;
+  std::uint64_t mListedSetHash = 0;
   bool mAreAllOwnersReachable = true;
   Ranking mReceivers;           ///< upstreams that accept packets
   Ranking mEligible;            ///< upstreams that accept new flows
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -40,13 +40,33 @@
   aArchive(kMagic, kVersion, static_cast<std::uint8_t>(aKind), aRevision);
 }
 
-bool hasValidFields(const Message& aMessage)
+bool hasValidFields(const Forward& aForward)
 {
-  const auto* forward = std::get_if<Forward>(&aMessage);
-  return forward == nullptr || (forward->mOwnershipQuery <= OwnershipQuery::kDecisive &&
-                                forward->mPossibleOwners.size() <= kMaxCandidates &&
-                                forward->mCandidates.size() <= kMaxCandidates &&
-                                forward->mCandidateIndex < forward->mCandidates.size());
+  return aForward.mOwnershipQuery <= OwnershipQuery::kDecisive &&
+         aForward.mPossibleOwners.size() <= kMaxCandidates &&
+         aForward.mCandidates.size() <= kMaxCandidates &&
+         aForward.mCandidateIndex < aForward.mCandidates.size();
+}
+
+bool hasValidFields(const OwnerLookup& aLookup)
+{
+  return !aLookup.mFlows.empty() && aLookup.mFlows.size() <= kMaxLookupFlows;
+}
+
+bool hasValidFields(const OwnerLookupReply& aReply)
+{
+  return !aReply.mOwnerships.empty() && aReply.mOwnerships.size() <= kMaxLookupFlows &&
+         std::all_of(
+           aReply.mOwnerships.begin(), aReply.mOwnerships.end(), [](FlowOwnership aOwnership) {
+             return aOwnership <= FlowOwnership::kUnknown;
+           });
+}
+
+/// Messages whose fields may have any value.
+template<class T>
+bool hasValidFields(const T&)
+{
+  return true;
 }
 
 } // namespace
@@ -127,7 +147,9 @@
   } catch (const std::exception&) {
     return DecodeError::kTruncated;
   }
-  if (!hasValidFields(frame.mMessage)) {
+  const bool isValid =
+    std::visit([](const auto& aMessage) { return hasValidFields(aMessage); }, frame.mMessage);
+  if (!isValid) {
     return DecodeError::kInvalid;
   }
   if (!std::holds_alternative<Forward>(frame.mMessage) && !archive.remaining().empty()) {
--- a/src/wire/owner_update.hpp
+++ b/src/wire/owner_update.hpp
@@ -16,7 +16,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mFlow.mCaller, mFlow.mService, mOwner);
+    aArchive(mFlow, mOwner);
   }
 };
 
--- /dev/null
+++ b/tests/unit/test_owner_lookups.cpp
@@ -0,0 +1,335 @@
+#include "unit/support/agent_group.hpp"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace cornelcross::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t kUpstreams = 136;
+
+config::Configuration makeComplete(std::uint32_t aCount, std::uint64_t aRevision = 1)
+{
+  auto configuration = makeConfiguration(aCount, aRevision);
+  configuration.mIsRetainedStateComplete = true;
+  return configuration;
+}
+
+struct Fixture : AgentGroup
+{
+  Fixture() { addAll(mConfiguration); }
+
+  /// Agent that the packets of aFlow visit only if the owner is looked up: the last rank.
+  flow::Endpoint lastRankedAgent(const flow::FlowKey& aFlow) const
+  {
+    const routing::ServiceTable table(share(mConfiguration));
+    return table.find("logbook")->candidates(aFlow.hash(), false, kUpstreams).back();
+  }
+
+  config::Upstream& upstreamOf(flow::Endpoint aAgent)
+  {
+    auto& upstreams = mConfiguration.mServices.at("logbook").mUpstreams;
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+      if (std::as_const(upstreams)[i].mAgent == aAgent) {
+        return upstreams[i];
+      }
+    }
+    throw std::logic_error("no upstream with this agent");
+  }
+
+  config::Configuration mConfiguration = makeComplete(kUpstreams);
+  flow::FlowKey mFlow = flowOf(1);
+  flow::Endpoint mLastRanked = lastRankedAgent(mFlow);
+};
+
+} // namespace
+
+// Guards against callers that wait for an answer on a flow that no upstream has: a packet that
+// visits all agents one after the other is lost on the way or meets agents whose configurations
+// differ, so that the flow is never reset.
+BOOST_AUTO_TEST_SUITE(owner_lookups)
+
+// Pattern: everything loses power, the upstreams start again, and a caller sends into a dead flow.
+BOOST_DATA_TEST_CASE(a_dead_flow_is_reset_at_once_at_any_size,
+                     boost::unit_test::data::make({ 10, 30, 136, 500 }),
+                     size)
+{
+  AgentGroup group;
+  const auto count = static_cast<std::uint32_t>(size);
+  group.addAll(makeComplete(count));
+  group.sendFromCaller(AgentGroup::flowOf(1));
+  BOOST_TEST(group.mReset.size() == 1U);
+  BOOST_TEST(group.mForwardMessages <= routing::kCandidatesPerPage + 2);
+  BOOST_TEST(group.mLookupMessages <= 2U * count);
+}
+
+// Pattern: everything loses power and all callers send into their dead flows within a second.
+BOOST_FIXTURE_TEST_CASE(the_lookups_of_many_dead_flows_share_their_messages, Fixture)
+{
+  constexpr std::uint32_t kFlows = 2000;
+  constexpr std::uint32_t kFlowsPerStep = 200;
+  constexpr std::size_t kLookupAgents = 16;
+  constexpr std::size_t kRoundsPerSecond = 20;
+  for (std::uint32_t flow = 0; flow < kFlows; ++flow) {
+    sendFromCaller(flowOf(flow));
+    if (flow % kFlowsPerStep == kFlowsPerStep - 1) {
+      advance(100ms);
+    }
+  }
+  advance(1s);
+  BOOST_TEST(mReset.size() == kFlows);
+  BOOST_TEST(mForwardMessages <= kFlows * (routing::kCandidatesPerPage + 2));
+  BOOST_TEST(mLookupMessages <= 2 * kLookupAgents * kRoundsPerSecond * 2 * kUpstreams);
+}
+
+// Pattern: balancers are added under a hash that moves nearly all flows, and no owner is cached.
+BOOST_FIXTURE_TEST_CASE(an_owner_of_the_last_rank_gets_the_packet_in_one_round_trip, Fixture)
+{
+  openFlow(mLastRanked, mFlow);
+  sendFromCaller(mFlow);
+  BOOST_TEST((mDelivered.at(mFlow) == mLastRanked));
+  BOOST_TEST(mReset.empty());
+  BOOST_TEST(mForwardMessages <= routing::kCandidatesPerPage + 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(all_packets_that_arrive_during_a_lookup_reach_the_owner, Fixture)
+{
+  constexpr std::size_t kPackets = 5;
+  openFlow(mLastRanked, mFlow);
+  mSilent = { mLastRanked };
+  for (std::size_t packet = 0; packet < kPackets; ++packet) {
+    sendFromCaller(mFlow);
+  }
+  mSilent.clear();
+  advance(1s);
+  BOOST_TEST(mDeliveries == kPackets);
+  BOOST_TEST((mDelivered.at(mFlow) == mLastRanked));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_flow_is_not_reset_while_an_agent_that_may_own_it_is_silent, Fixture)
+{
+  openFlow(mLastRanked, mFlow);
+  mSilent = { mLastRanked };
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    sendFromCaller(mFlow);
+    advance(1s);
+  }
+  BOOST_TEST(mReset.empty());
+  mSilent.clear();
+  advance(5s);
+  sendFromCaller(mFlow);
+  advance(1s);
+  BOOST_TEST(mReset.empty());
+  BOOST_TEST((mDelivered.at(mFlow) == mLastRanked));
+}
+
+// Pattern: a release takes upstreams and their VMs away, then other flows die. Operators treat an
+// upstream that is no longer registered as gone.
+BOOST_FIXTURE_TEST_CASE(a_removed_upstream_whose_vm_is_gone_delays_a_reset_by_two_seconds, Fixture)
+{
+  upstreamOf(mLastRanked).mState = config::UpstreamState::kRemoved;
+  mConfiguration.mRevision = 2;
+  mBalancer.apply(share(mConfiguration));
+  applyToAgents(mConfiguration);
+  mSilent = { mLastRanked };
+  sendFromCaller(mFlow);
+  advance(300ms);
+  BOOST_TEST(mReset.empty());
+  advance(1700ms);
+  BOOST_TEST(mReset.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_removed_upstream_that_still_runs_keeps_its_flows, Fixture)
+{
+  openFlow(mLastRanked, mFlow);
+  upstreamOf(mLastRanked).mState = config::UpstreamState::kRemoved;
+  mConfiguration.mRevision = 2;
+  mBalancer.apply(share(mConfiguration));
+  applyToAgents(mConfiguration);
+  sendFromCaller(mFlow);
+  advance(3s);
+  BOOST_TEST(mReset.empty());
+  BOOST_TEST((mDelivered.at(mFlow) == mLastRanked));
+}
+
+// Guards against resets by an agent that does not list the owner yet.
+BOOST_FIXTURE_TEST_CASE(a_flow_is_not_reset_while_another_agent_has_a_newer_configuration, Fixture)
+{
+  auto newer = makeComplete(kUpstreams + 1, 2);
+  addAgent(agentOf(kUpstreams));
+  mAgents.at(agentOf(kUpstreams))->apply(kAppliedAt, share(newer));
+  giveFlow(agentOf(kUpstreams), mFlow);
+  mAgents.at(mLastRanked)->apply(kAppliedAt, share(newer));
+  sendFromCaller(mFlow);
+  advance(1s);
+  BOOST_TEST(mReset.empty());
+  openFlow(agentOf(kUpstreams), mFlow);
+  applyToAgents(newer);
+  advance(1s);
+  BOOST_TEST(mReset.empty());
+  BOOST_TEST((mDelivered.at(mFlow) == agentOf(kUpstreams)));
+}
+
+// Configurations change all the time while a fleet starts. A denial holds under any of them.
+BOOST_FIXTURE_TEST_CASE(agents_with_an_older_configuration_can_deny_a_flow, Fixture)
+{
+  const auto newer = makeComplete(kUpstreams, 2);
+  bool isNewer = false;
+  for (auto& [endpoint, agent] : mAgents) {
+    isNewer = !isNewer;
+    if (isNewer) {
+      agent->apply(kAppliedAt, share(newer));
+    }
+  }
+  sendFromCaller(mFlow);
+  advance(300ms);
+  applyToAgents(newer);
+  advance(300ms);
+  BOOST_TEST(mReset.size() == 1U);
+}
+
+// Pattern: all processes are killed and started again, and the upstreams live.
+BOOST_FIXTURE_TEST_CASE(agents_that_have_just_started_deny_a_flow_once_its_packets_are_returned,
+                        Fixture)
+{
+  for (std::uint32_t i = 0; i < kUpstreams; ++i) {
+    restartAgent(agentOf(i), mConfiguration);
+  }
+  sendFromCaller(mFlow);
+  advance(500ms);
+  BOOST_TEST(mReset.size() == 1U);
+  BOOST_TEST(mForwardMessages <= kUpstreams + 2 * routing::kCandidatesPerPage);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_flow_reaches_its_upstream_beside_an_agent_that_has_just_started, Fixture)
+{
+  for (std::uint32_t i = 0; i < kUpstreams; ++i) {
+    restartAgent(agentOf(i), mConfiguration);
+  }
+  giveFlow(mLastRanked, mFlow);
+  sendFromCaller(mFlow);
+  advance(3s);
+  BOOST_TEST(mReset.empty());
+  BOOST_TEST((mDelivered.at(mFlow) == mLastRanked));
+}
+
+// During an upgrade, agents of an earlier version do not reply to lookups.
+BOOST_FIXTURE_TEST_CASE(an_owner_that_does_not_know_lookups_gets_the_packets, Fixture)
+{
+  openFlow(mLastRanked, mFlow);
+  mIgnoresLookups = { mLastRanked };
+  sendFromCaller(mFlow);
+  advance(1s);
+  BOOST_TEST((mDelivered.at(mFlow) == mLastRanked));
+  BOOST_TEST(mReset.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_flow_is_not_reset_without_the_complete_retained_state, Fixture)
+{
+  mConfiguration.mIsRetainedStateComplete = false;
+  applyToAgents(mConfiguration);
+  sendFromCaller(mFlow);
+  advance(4s);
+  BOOST_TEST(mReset.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_flow_is_not_reset_while_a_zone_with_a_possible_owner_is_out, Fixture)
+{
+  mConfiguration.mZones["b"] = { "b", false };
+  mConfiguration.mRevision = 2;
+  mBalancer.apply(share(mConfiguration));
+  applyToAgents(mConfiguration);
+  sendFromCaller(mFlow);
+  advance(4s);
+  BOOST_TEST(mReset.empty());
+}
+
+/// Lookups of one agent beside which there are two others.
+struct SingleFixture
+{
+  agent::Actions start(std::uint32_t aFlow)
+  {
+    flow::TcpPacket packet;
+    packet.mSource = AgentGroup::flowOf(aFlow).mCaller;
+    packet.mDestination = kServiceAddress;
+    packet.mFlags = flow::kAck;
+    wire::Forward forward;
+    forward.mPacket = flow::Bytes(platform::kHeaderBytes);
+    routing::CandidateServices services;
+    mTable.servicesForEstablishedFlow(kServiceAddress, 0, services);
+    forward.mCandidateDigest = routing::listedDigest(services);
+    return mLookups.start(mNow, packet, forward);
+  }
+
+  agent::Actions reply(std::uint32_t aAgent,
+                       std::uint32_t aRound,
+                       std::vector<wire::FlowOwnership> aOwnerships)
+  {
+    return mLookups.onReply(mNow, agentOf(aAgent), 1, { aRound, std::move(aOwnerships) });
+  }
+
+  static std::size_t dropCount(const agent::Actions& aActions)
+  {
+    return static_cast<std::size_t>(
+      std::count_if(aActions.begin(), aActions.end(), [](const agent::Action& aAction) {
+        return std::holds_alternative<agent::DropPacket>(aAction);
+      }));
+  }
+
+  base::Time mNow{ 100s };
+  membership::FailureDetector mFailureDetector;
+  flow::PacketFormat mFormat = platform::packetFormat();
+  routing::ServiceTable mTable{ share(makeComplete(3)) };
+  agent::OwnerLookups mLookups{ agentOf(0),
+                                mFailureDetector,
+                                mFormat,
+                                mTable,
+                                [](base::Time, const flow::FlowKey&) {
+                                  return wire::FlowOwnership::kDenied;
+                                } };
+};
+
+BOOST_FIXTURE_TEST_CASE(replies_that_answer_no_query_are_ignored, SingleFixture)
+{
+  using wire::FlowOwnership;
+  start(1);
+  BOOST_TEST(reply(1, 2, { FlowOwnership::kOwned }).empty());                        // round
+  BOOST_TEST(reply(1, 1, { FlowOwnership::kOwned, FlowOwnership::kOwned }).empty()); // size
+  BOOST_TEST(reply(7, 1, { FlowOwnership::kOwned }).empty());                        // sender
+  BOOST_TEST(reply(1, 1, { FlowOwnership::kDenied }).empty());
+  BOOST_TEST(reply(1, 1, { FlowOwnership::kOwned }).empty()); // duplicate
+  BOOST_TEST(findAction<agent::SendToCaller>(reply(2, 1, { FlowOwnership::kDenied })) != nullptr);
+  BOOST_TEST(mLookups.size() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(waiting_flows_and_packets_are_bounded, SingleFixture)
+{
+  constexpr std::uint32_t kAttempts = 3000;
+  std::size_t drops = 0;
+  for (std::uint32_t flow = 0; flow < kAttempts; ++flow) {
+    drops += dropCount(start(flow));
+  }
+  BOOST_TEST(mLookups.size() == 512U);
+  BOOST_TEST(drops == kAttempts - 512U);
+  for (std::uint32_t packet = 0; packet < kAttempts; ++packet) {
+    drops += dropCount(start(1));
+  }
+  BOOST_TEST(drops == 2 * kAttempts - 512U - 15U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lookup_that_stays_unanswered_ends_after_three_seconds, SingleFixture)
+{
+  start(1);
+  std::size_t drops = 0;
+  for (int tick = 0; tick < 40; ++tick) {
+    mNow += 100ms;
+    drops += dropCount(mLookups.onTimer(mNow));
+  }
+  BOOST_TEST(mLookups.size() == 0U);
+  BOOST_TEST(drops == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
