--- a/tests/platform/test_store_translator.cpp
+++ b/tests/platform/test_store_translator.cpp
@@ -83,19 +83,22 @@
     mergeDocuments();
   }
 
+  platform::StoreTranslator makeTranslator()
+  {
+    return { { { "a", "b" }, 8172, 770ms },
+             [this](const std::string& aKey) -> std::optional<config::Document> {
+               const auto found = mStore.documentsForKeys({ aKey });
+               return found.empty() ? std::nullopt : std::optional(found.front());
+             },
+             [this](const std::string& aPrefix) { return mStore.keysWithPrefix(aPrefix); },
+             [this](const std::string& aKey, const std::string&) { mFaultyKeys.push_back(aKey); } };
+  }
+
   base::Time mNow{ 100s };
   std::uint64_t mRevision = 10;
   std::vector<std::string> mFaultyKeys;
   config::DocumentStore mStore;
-  platform::StoreTranslator mTranslator{
-    { { "a", "b" }, 8172, 770ms },
-    [this](const std::string& aKey) -> std::optional<config::Document> {
-      const auto found = mStore.documentsForKeys({ aKey });
-      return found.empty() ? std::nullopt : std::optional(found.front());
-    },
-    [this](const std::string& aPrefix) { return mStore.keysWithPrefix(aPrefix); },
-    [this](const std::string& aKey, const std::string&) { mFaultyKeys.push_back(aKey); }
-  };
+  platform::StoreTranslator mTranslator = makeTranslator();
 };
 
 } // namespace
@@ -254,6 +257,29 @@
   BOOST_TEST(upstreams("log") == 1U);
 }
 
+// Pattern: everything loses power. The records of upstreams that don't come back expire after the
+// processes have started, and until then no process can rule out that those upstreams own a flow.
+BOOST_AUTO_TEST_CASE(a_record_that_expires_soon_after_the_start_is_removed_at_once)
+{
+  replaceAll({ { "op/config", 1, kConfig },
+               { "servers/x", 2, makeEntry("log", "10.0.0.1:80") },
+               { "servers/y", 3, makeEntry("log", "10.0.0.2:80") } });
+  mNow += 700ms;
+  update("servers/x", std::nullopt);
+  BOOST_TEST(upstreams("log") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_was_missing_at_the_start_may_return)
+{
+  start();
+  mTranslator = makeTranslator();
+  mNow += 10s;
+  replaceAll({ { "op/config", 1, kConfig }, { "servers/y", 3, makeEntry("log", "10.0.0.2:80") } });
+  BOOST_TEST(upstreams("log") == 2U);
+  updateWithoutChanges();
+  BOOST_TEST(upstreams("log") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(entries_that_expired_during_an_outage_of_the_store_may_return)
 {
   start();
