Start without a read of the configuration service beside current peers

Change: a process whose peer reports a response of the service younger than the limit for non-readers waits up to a second for the peer's documents and does without the read.

--- a/src/membership/configuration_sync.cpp
+++ b/src/membership/configuration_sync.cpp
@@ -10,7 +10,8 @@
 constexpr base::Duration kRejectedKeyPullInterval = std::chrono::seconds(1);
 constexpr base::Duration kRetainedStatePullInterval = std::chrono::seconds(2);
 constexpr unsigned kMaxRetainedStatePulls = 6; // the last is about a minute after the start
-constexpr unsigned kMaxRejectedKeyPulls = 3;   // peers queried for an accepted version of a key
+constexpr base::Duration kPeerDocumentsTimeout = std::chrono::seconds(1);
+constexpr unsigned kMaxRejectedKeyPulls = 3; // peers queried for an accepted version of a key
 
 std::uint32_t toMilliseconds(base::Duration aAge)
 {
@@ -34,8 +35,11 @@
 {
   mLastCall = aNow;
   mConfirmation.startRound(aNow);
-  // With seeds, the first documents come from a peer, and the service is read for the rest.
-  mServiceSchedule.requestRead(mSettings.mSeeds.empty() ? aNow : aNow + mSettings.mSeedLeadTime);
+  if (mSettings.mSeeds.empty()) {
+    mServiceSchedule.requestRead(aNow);
+  } else {
+    mFirstReadDecision = aNow + mSettings.mSeedLeadTime;
+  }
   return onTick(aNow);
 }
 
@@ -49,6 +53,7 @@
   }
   mConfirmation.startRound(aNow);
   mServiceSchedule.requestRead(aNow);
+  mFirstReadDecision.reset();
   mNextConfirmationQuery = aNow;
   return { telemetry::Event{ telemetry::EventKind::kProcessPaused,
                              { { "gap_ms", std::to_string(toMilliseconds(gap)) },
@@ -138,8 +143,30 @@
   }
 }
 
+// A process that starts beside running ones gets its documents from a peer, like every process that
+// is not a reader. It reads the service itself if no peer has recent documents, or if the documents
+// of the peers do not arrive.
+void ConfigurationSync::decideFirstRead(base::Time aNow)
+{
+  const auto age = serviceAge(aNow);
+  const bool isPeerCurrent = age && *age < mSettings.mServiceStaleAfter;
+  if (isPeerCurrent && mConfirmation.isConfirmed()) {
+    mServiceSchedule.skipFirstRead();
+    mFirstReadDecision.reset();
+  } else if (!isPeerCurrent || aNow >= *mFirstReadDecision + kPeerDocumentsTimeout) {
+    mServiceSchedule.requestRead(aNow);
+    mFirstReadDecision.reset();
+  }
+}
+
 void ConfigurationSync::readServiceIfDue(base::Time aNow, Actions& aActions)
 {
+  if (mFirstReadDecision && aNow >= *mFirstReadDecision) {
+    decideFirstRead(aNow);
+  }
+  if (mFirstReadDecision) {
+    return;
+  }
   if (const auto maxWaitSeconds = mServiceSchedule.start(aNow, isReader(), mRandom)) {
     aActions.emplace_back(ReadService{ mRevision, *maxWaitSeconds });
   }
--- a/src/membership/configuration_sync.hpp
+++ b/src/membership/configuration_sync.hpp
@@ -87,6 +87,7 @@
   void sendConfirmationQueries(base::Time aNow, Actions& aActions);
   void updateConfirmation(base::Time aNow, Actions& aActions);
   void startPullIfDue(base::Time aNow, Actions& aActions);
+  void decideFirstRead(base::Time aNow);
   void readServiceIfDue(base::Time aNow, Actions& aActions);
   void recordRetainedStatePeer(base::Time aNow, flow::Endpoint aPeer);
   void pullRetainedStateIfDue(base::Time aNow, Actions& aActions);
@@ -106,6 +107,7 @@
   base::Time mNextHeartbeat;
   base::Time mNextConfirmationQuery;
   base::Time mNextRejectedKeyPull;
+  std::optional<base::Time> mFirstReadDecision; ///< when to decide; empty once decided
   bool mNeedsRetainedState = true;
   std::optional<flow::Endpoint> mRetainedStatePeer;
   base::Time mNextRetainedStatePull;
--- a/src/membership/service_schedule.hpp
+++ b/src/membership/service_schedule.hpp
@@ -23,6 +23,9 @@
   /// process and after a pause.
   void requestRead(base::Time aNow);
 
+  /// @brief Does without the read with which a process starts, because peers have recent documents.
+  void skipFirstRead() { mIsReadRequested = false; }
+
   /// @brief Starts a read if one is due.
   /// @return maximum delay of the response in seconds; empty if no read is due. The service delays
   ///         its response until a document changes.
--- a/src/membership/settings.hpp
+++ b/src/membership/settings.hpp
@@ -49,7 +49,8 @@
   base::Duration mServiceMinBackoff = std::chrono::milliseconds(500);
   base::Duration mServiceMaxBackoff = std::chrono::seconds(60);
 
-  /// Delay of the first read of the configuration service at the start of a process that has seeds.
+  /// Time after its start in which a process that has seeds waits for peers before it reads the
+  /// configuration service.
   base::Duration mSeedLeadTime = std::chrono::milliseconds(300);
 
   /// True if a response of the configuration service alone confirms a revision.
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -46,6 +46,23 @@
   BOOST_TEST(settings.mFlowLifetimeS == 60U);
 }
 
+// Pattern: the whole system starts, and every process reads all pages of the store.
+BOOST_AUTO_TEST_CASE(at_the_first_start_all_but_the_seeds_wait_for_documents_of_peers)
+{
+  const auto leadTime = [](const nlohmann::json& aSettings) {
+    return platform::agentSettings(settingsOf(aSettings)).mMembership.mSync.mSeedLeadTime;
+  };
+  auto json = completeSettings();
+  const auto usual = leadTime(json);
+  json["bootstrap"] = true;
+  BOOST_TEST((leadTime(json) > usual));
+  json["seeds"][0] = "10.1.0.12:8166"; // this process
+  BOOST_TEST((leadTime(json) == usual));
+  json["bootstrap"] = "yes";
+  json["seeds"] = nlohmann::json::array();
+  BOOST_TEST((leadTime(json) == usual));
+}
+
 BOOST_AUTO_TEST_CASE(a_balancer_needs_no_backend_address)
 {
   auto json = completeSettings();
--- a/tests/unit/test_configuration_sync.cpp
+++ b/tests/unit/test_configuration_sync.cpp
@@ -231,6 +231,84 @@
   BOOST_TEST(pulls == 6U);
 }
 
+/// Process that is no reader and starts beside kPeer, whose newest response of the service has the
+/// age aAge.
+struct StartBesidePeer
+{
+  explicit StartBesidePeer(base::Duration aAge, bool aIsConfirmed = true)
+  {
+    for (const auto& request : replyRequestsOf(mProcess.start(kStart))) {
+      auto reply = replyTo(request, aIsConfirmed);
+      reply.mServiceAgeMs = static_cast<std::uint32_t>(aAge / 1ms);
+      mProcess.onHeartbeat(kStart, 5, reply);
+    }
+  }
+
+  /// Time until the process reads the service; empty if it does not within two seconds.
+  std::optional<base::Duration> firstRead()
+  {
+    for (base::Duration elapsed = 0ms; elapsed <= 2s; elapsed += 100ms) {
+      const Actions actions = mProcess.onTick(kStart + elapsed);
+      if (!actionsOfType<membership::ReadService>(actions).empty()) {
+        return elapsed;
+      }
+      if (mDeliversDocuments && !actionsOfType<membership::StartPull>(actions).empty()) {
+        mProcess.apply(kStart + elapsed, test::makeConfiguration(30, 5), {});
+        mProcess.onPullFinished(kStart + elapsed, 5);
+      }
+    }
+    return std::nullopt;
+  }
+
+  static membership::Settings settings()
+  {
+    auto settings = settingsOf(nonReader());
+    settings.mSeeds = { kPeer };
+    settings.mServiceIsLinearizable = true;
+    return settings;
+  }
+
+  static flow::Endpoint nonReader()
+  {
+    for (std::uint32_t i = 3;; ++i) {
+      auto process = membership::ConfigurationSync(settingsOf(test::agentOf(i)));
+      process.apply(kStart, test::makeConfiguration(30), {});
+      if (!process.isReader()) {
+        return test::agentOf(i);
+      }
+    }
+  }
+
+  membership::ConfigurationSync mProcess{ settings() };
+  bool mDeliversDocuments = true;
+};
+
+// Pattern: agents and balancers are rolled. Each process that starts would read all pages of the
+// service, whose calls are limited.
+BOOST_AUTO_TEST_CASE(a_process_that_starts_beside_a_peer_with_recent_documents_does_not_read)
+{
+  BOOST_TEST(!StartBesidePeer(300ms).firstRead().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_starts_beside_peers_that_start_too_reads_after_the_lead_time)
+{
+  StartBesidePeer start(wire::kUnknownAgeMs * 1ms, false);
+  BOOST_TEST((start.firstRead() == 300ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_starts_beside_a_peer_without_recent_documents_reads)
+{
+  StartBesidePeer start(StartBesidePeer::settings().mServiceStaleAfter + 1s);
+  BOOST_TEST((start.firstRead() == 300ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_starts_reads_if_the_documents_of_its_peer_do_not_arrive)
+{
+  StartBesidePeer start(300ms);
+  start.mDeliversDocuments = false;
+  BOOST_TEST((start.firstRead() == 1300ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_starting_process_without_peers_sends_heartbeats_to_new_seeds)
 {
   membership::ConfigurationSync process(settingsOf());
