Know that an upstream younger than its agent has no unrecorded flow

Change: the upstream's start after the agent's is enough. All packets for the upstream pass its agent, and one clock gives both times.

--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -61,7 +61,6 @@
   if (aConfiguration->mRevision < revision()) {
     return {};
   }
-  const bool isFirst = !mRecoveryStart;
   mRecoveryStart = mRecoveryStart.value_or(aNow);
   mConfiguration = std::move(aConfiguration);
   const auto previous = std::exchange(mUpstream, std::nullopt);
@@ -104,22 +103,23 @@
   if (mUpstream && (isReplaced || hasRestarted || mUpstream->mIdentity != previousIdentity)) {
     mAdmission.onUpstreamRestarted(aNow);
   }
-  mHasSeenUpstreamStart = hasSeenUpstreamStart(isFirst, hasRestarted, previous.has_value());
+  mHasSeenUpstreamStart = hasSeenUpstreamStart(hasRestarted, previous.has_value());
   if (previous != mUpstream) {
     actions.emplace_back(assignmentEvent());
   }
   return actions;
 }
 
-// An upstream that was assigned or restarted while this agent was running has no flow without a
-// record here.
-bool FlowManager::hasSeenUpstreamStart(bool aIsFirst, bool aHasRestarted, bool aWasListed) const
+// An upstream that started or was assigned after this agent has no flow without a record here,
+// since all packets for the upstream pass this agent. Both started on the same VM, so that one
+// clock gave both times.
+bool FlowManager::hasSeenUpstreamStart(bool aHasRestarted, bool aWasListed) const
 {
   if (!mUpstream || mSettings.mStartedAtMs == 0) {
     return false;
   }
   const bool isStartedLater = mUpstream->mStartedAtMs >= mSettings.mStartedAtMs;
-  const bool hasAppeared = !aIsFirst && !aWasListed && isStartedLater;
+  const bool hasAppeared = !aWasListed && isStartedLater;
   return hasAppeared || aHasRestarted || mHasSeenUpstreamStart;
 }
 
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -139,7 +139,7 @@
   Actions onOwnershipQuery(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   wire::FlowOwnership ownershipOf(base::Time aNow, const flow::FlowKey& aFlow) const;
   bool areRecordsComplete(base::Time aNow) const;
-  bool hasSeenUpstreamStart(bool aIsFirst, bool aHasRestarted, bool aWasListed) const;
+  bool hasSeenUpstreamStart(bool aHasRestarted, bool aWasListed) const;
   Actions placeFlow(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onNewFlow(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions admitFlow(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
--- a/tests/unit/test_returned_packets.cpp
+++ b/tests/unit/test_returned_packets.cpp
@@ -351,4 +351,25 @@
   BOOST_TEST(findAction<agent::DeliverToUpstream>(early.forwardData()) == nullptr);
 }
 
+// Pattern: everything loses power, and agents and upstreams start at the same time. Queries at all
+// upstreams for each dead flow would delay its reset.
+BOOST_AUTO_TEST_CASE(an_agent_whose_first_configuration_lists_a_younger_upstream_sends_no_query)
+{
+  constexpr std::uint64_t kStartMs = 1000000;
+  for (const bool isYounger : { false, true }) {
+    agent::FlowManager started(
+      { .mSelf = agentOf(0), .mRecoveryWindow = 60s, .mStartedAtMs = kStartMs },
+      platform::packetFormat());
+    auto configuration = makeConfiguration(3);
+    configuration.mServices.at("logbook").mUpstreams[0].mStartedAtMs =
+      isYounger ? kStartMs + 1 : kStartMs - 1;
+    started.apply(mNow, share(configuration));
+    const flow::FlowKey flow{ kCaller, kServiceAddress };
+    const auto reply = started.onOwnerLookup(mNow, agentOf(1), { 1, { flow } });
+    const auto& message = findAction<agent::SendMessage>(reply)->mMessage;
+    BOOST_TEST((std::get<wire::OwnerLookupReply>(message).mOwnerships.at(0) ==
+                (isYounger ? wire::FlowOwnership::kDenied : wire::FlowOwnership::kUnknown)));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
