Visit agents of the own zone only before an owner is looked up

Cause: a packet whose owner isn't cached visited the first 15 candidates of large services in rank order, 12 of them in other zones, with each retransmission; each hop carries the whole packet. New flows go to the balancer's zone first, so the owner is nearly always among the three in it.

Change: of the first page of a large service, only agents of this agent's zone get the packet; the others are asked by the lookup. Services of up to 15 upstreams are visited whole as before.

--- a/src/agent/candidate_forwarder.cpp
+++ b/src/agent/candidate_forwarder.cpp
@@ -188,7 +188,25 @@
   aForward.mCandidates = std::move(page.mAgents);
   aForward.mIsLastPage = page.mIsLastPage;
   aForward.mIsListFromAgent = true;
-  return !aForward.mCandidates.empty();
+  if (!mPacketFormat.returnsPackets()) {
+    return !aForward.mCandidates.empty();
+  }
+  if (!page.mIsLastPage) {
+    keepOwnZone(services, aForward.mCandidates);
+  }
+  return true; // without candidates the owner is looked up
+}
+
+// New flows go to the balancer's zone first, and a balancer selects an agent of its zone. The
+// agents of other zones are asked by a lookup, whose messages are smaller than the packet.
+void CandidateForwarder::keepOwnZone(const routing::CandidateServices& aServices,
+                                     std::vector<flow::Endpoint>& aAgents) const
+{
+  std::erase_if(aAgents, [&](flow::Endpoint aAgent) {
+    return std::none_of(aServices.begin(), aServices.end(), [&](const auto* aRoutes) {
+      return aRoutes->areInSameZone(mSelf, aAgent);
+    });
+  });
 }
 
 bool CandidateForwarder::loadNextNewFlowPage(const flow::TcpPacket& aPacket,
--- a/src/agent/candidate_forwarder.hpp
+++ b/src/agent/candidate_forwarder.hpp
@@ -66,6 +66,8 @@
   Actions lookUpOwner(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   flow::Endpoint selectLookupAgent(const flow::TcpPacket& aPacket) const;
   bool loadNextPage(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
+  void keepOwnZone(const routing::CandidateServices& aServices,
+                   std::vector<flow::Endpoint>& aAgents) const;
   bool loadNextNewFlowPage(const flow::TcpPacket& aPacket, wire::Forward& aForward) const;
   std::uint64_t digestOf(const routing::CandidateServices& aServices) const;
   bool canResetAfter(const flow::TcpPacket& aPacket, const wire::Forward& aForward) const;
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -39,6 +39,12 @@
   return zone != mZoneByAgent.end() && zone->second == aZone;
 }
 
+bool ServiceRoutes::areInSameZone(flow::Endpoint aAgent, flow::Endpoint aOther) const
+{
+  const auto zone = mZoneByAgent.find(aAgent);
+  return zone != mZoneByAgent.end() && isInZone(aOther, zone->second);
+}
+
 std::vector<flow::Endpoint> ServiceRoutes::candidates(std::uint64_t aFlowHash,
                                                       bool aIsNewFlow,
                                                       std::size_t aLimit) const
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -52,6 +52,10 @@
   /// aZone.
   bool isInZone(flow::Endpoint aAgent, const std::string& aZone) const;
 
+  /// @brief True if both agents are agents of upstreams that accept packets, in one availability
+  /// zone.
+  bool areInSameZone(flow::Endpoint aAgent, flow::Endpoint aOther) const;
+
   /// @brief The first aLimit candidate agents for a flow, most likely owner first. For a new flow
   /// the agents that accept new flows precede the others, which can only report that they already
   /// own the flow.
