Send one packet to agents that can't rule out a flow; take silent removed ones for gone

Change: an agent of an unregistered upstream that leaves three lookups unanswered over a second counts as gone; a late reply shows that it runs. Agents that can't rule out a flow get the smallest of its packets; an owner replies to the next round that it owns the flow and gets all.

--- a/src/agent/owner_lookups.cpp
+++ b/src/agent/owner_lookups.cpp
@@ -25,6 +25,12 @@
 /// Callers send a packet again after 1.6 s at most, which starts the lookup again.
 constexpr base::Duration kLookupTimeout = std::chrono::seconds(3);
 
+// Silence after which the agent of an upstream that is no longer registered counts as gone. Single
+// messages may be lost.
+constexpr base::Duration kGoneAfter = std::chrono::seconds(1);
+constexpr std::uint32_t kMinUnansweredQueries = 3;
+constexpr base::Duration kMaxSilence = std::chrono::seconds(60);
+
 /// Rounds without a reply after which an agent gets the packets.
 constexpr std::uint32_t kMinRoundsBeforeCopies = 2;
 
@@ -87,8 +93,12 @@
                           const routing::ServiceRoutes& aRoutes,
                           flow::Endpoint aAgent) const
 {
+  const auto silence = mSilences.find(aAgent);
+  const bool isSilent = silence != mSilences.end() &&
+                        silence->second.mQueries >= kMinUnansweredQueries &&
+                        aNow - silence->second.mSince >= kGoneAfter;
   return mFailureDetector.isUnreachable(aNow, aAgent) ||
-         (aRoutes.isRemoved(aAgent) && mFailureDetector.isSuspected(aAgent));
+         (aRoutes.isRemoved(aAgent) && (isSilent || mFailureDetector.isSuspected(aAgent)));
 }
 
 std::vector<flow::Endpoint> OwnerLookups::undecidedAgents(base::Time aNow,
@@ -161,13 +171,15 @@
                               std::uint64_t aRevision,
                               const wire::OwnerLookupReply& aReply)
 {
+  // A late reply answers no query any more, but shows that the agent runs.
+  mFailureDetector.recordReply(aNow, aFrom);
+  mSilences.erase(aFrom);
   const auto query = mQueries.find(aFrom);
   const bool isExpected = aReply.mRound == mRound && query != mQueries.end() &&
                           query->second.size() == aReply.mOwnerships.size();
   if (!isExpected) {
     return {};
   }
-  mFailureDetector.recordReply(aNow, aFrom);
   Actions actions;
   for (std::size_t i = 0; i < query->second.size(); ++i) {
     const auto lookup = mLookups.find(query->second[i]);
@@ -176,7 +188,9 @@
     }
     lookup->second.mNewestRevision = std::max(lookup->second.mNewestRevision, aRevision);
     if (aReply.mOwnerships[i] == wire::FlowOwnership::kOwned) {
-      sendPackets(lookup->second, aFrom, actions);
+      for (const flow::Bytes& packet : lookup->second.mPackets) {
+        sendPacket(lookup->second, packet, aFrom, actions);
+      }
       erase(lookup);
     } else if (aReply.mOwnerships[i] == wire::FlowOwnership::kDenied) {
       lookup->second.mDeniedBy.insert(aFrom);
@@ -203,7 +217,7 @@
 
 Actions OwnerLookups::finishRound(base::Time aNow)
 {
-  mQueries.clear();
+  recordSilence();
   Actions actions;
   for (const flow::FlowKey& flow : std::exchange(mRoundFlows, {})) {
     conclude(aNow, flow, actions);
@@ -211,6 +225,17 @@
   return actions;
 }
 
+void OwnerLookups::recordSilence()
+{
+  // Bounds the memory: agents that are not asked any more may never reply.
+  std::erase_if(mSilences, [&](const auto& aEntry) {
+    return mRoundStartedAt - aEntry.second.mSince > kMaxSilence;
+  });
+  for (const auto& [agent, flows] : std::exchange(mQueries, {})) {
+    ++mSilences.try_emplace(agent, Silence{ mRoundStartedAt, 0 }).first->second.mQueries;
+  }
+}
+
 // Each agent's denial stays valid: an upstream without the flow cannot get a flow that was
 // established before. What may be missing is an upstream that only other processes list. Each of
 // the processes that the packet passed, and each agent that replied, would list it.
@@ -263,6 +288,11 @@
                                    const std::vector<flow::Endpoint>& aUndecided,
                                    Actions& aActions)
 {
+  // One packet suffices: an owner replies to the next round that it owns the flow.
+  const auto smallest = std::min_element(
+    aLookup.mPackets.begin(), aLookup.mPackets.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.size() < aRight.size();
+    });
   for (const flow::Endpoint agent : aUndecided) {
     const bool isSilent = !aLookup.mUnknownAt.contains(agent);
     if (isSilent && aLookup.mRounds < kMinRoundsBeforeCopies) {
@@ -271,27 +301,26 @@
     const auto [copied, isFirst] = aLookup.mCopiedAt.try_emplace(agent, aNow);
     if (agent != mSelf && (isFirst || aNow - copied->second >= kCopyInterval)) {
       copied->second = aNow;
-      sendPackets(aLookup, agent, aActions);
+      sendPacket(aLookup, *smallest, agent, aActions);
     }
   }
 }
 
-// Marked as copies, the packets end at their receiver.
-void OwnerLookups::sendPackets(const Lookup& aLookup,
-                               flow::Endpoint aAgent,
-                               Actions& aActions) const
+// Marked as a copy, the packet ends at its receiver.
+void OwnerLookups::sendPacket(const Lookup& aLookup,
+                              const flow::Bytes& aPacket,
+                              flow::Endpoint aAgent,
+                              Actions& aActions) const
 {
-  for (const flow::Bytes& packet : aLookup.mPackets) {
-    wire::Forward forward;
-    forward.mIngress = aLookup.mIngress;
-    forward.mIsListFromAgent = true;
-    forward.mIsLastPage = true;
-    forward.mIsDeniedByAll = false;
-    forward.mIsCopy = true;
-    forward.mCandidates = { aAgent };
-    forward.mPacket = packet;
-    aActions.emplace_back(SendMessage{ aAgent, std::move(forward) });
-  }
+  wire::Forward forward;
+  forward.mIngress = aLookup.mIngress;
+  forward.mIsListFromAgent = true;
+  forward.mIsLastPage = true;
+  forward.mIsDeniedByAll = false;
+  forward.mIsCopy = true;
+  forward.mCandidates = { aAgent };
+  forward.mPacket = aPacket;
+  aActions.emplace_back(SendMessage{ aAgent, std::move(forward) });
 }
 
 void OwnerLookups::erase(Lookups::iterator aLookup)
--- a/src/agent/owner_lookups.hpp
+++ b/src/agent/owner_lookups.hpp
@@ -67,20 +67,24 @@
     std::uint64_t mNewestRevision = 0;   ///< highest revision of the agents that replied
     std::set<flow::Endpoint> mDeniedBy;  ///< agents whose upstream does not have the flow
     std::set<flow::Endpoint> mUnknownAt; ///< agents that cannot rule out that they own the flow
-    std::map<flow::Endpoint, base::Time> mCopiedAt; ///< agents that received the packets
+    std::map<flow::Endpoint, base::Time> mCopiedAt; ///< agents that received a packet
   };
 
   using Lookups = std::map<flow::FlowKey, Lookup>;
 
   Actions startRound(base::Time aNow);
   Actions finishRound(base::Time aNow);
+  void recordSilence();
   void resolveOwnFlow(base::Time aNow, const flow::FlowKey& aFlow, Lookup& aLookup) const;
   void conclude(base::Time aNow, const flow::FlowKey& aFlow, Actions& aActions);
   void copyToUndecided(base::Time aNow,
                        Lookup& aLookup,
                        const std::vector<flow::Endpoint>& aUndecided,
                        Actions& aActions);
-  void sendPackets(const Lookup& aLookup, flow::Endpoint aAgent, Actions& aActions) const;
+  void sendPacket(const Lookup& aLookup,
+                  const flow::Bytes& aPacket,
+                  flow::Endpoint aAgent,
+                  Actions& aActions) const;
   void erase(Lookups::iterator aLookup);
   bool isDenialComplete(const flow::FlowKey& aFlow, const Lookup& aLookup) const;
   bool isGone(base::Time aNow, const routing::ServiceRoutes& aRoutes, flow::Endpoint aAgent) const;
@@ -102,6 +106,15 @@
   base::Time mRoundStartedAt;
   std::set<flow::FlowKey> mRoundFlows;                           ///< empty between rounds
   std::map<flow::Endpoint, std::vector<flow::FlowKey>> mQueries; ///< unanswered, by agent
+
+  /// Queries that an agent left unanswered in a row.
+  struct Silence
+  {
+    base::Time mSince; ///< time of the first
+    std::uint32_t mQueries = 0;
+  };
+
+  std::map<flow::Endpoint, Silence> mSilences; ///< by agent
 };
 
 } // namespace cornelcross::agent
