Read the service at a start while the readers get no response

The service had been down for 15 s and the readers backed off by up to a minute; logbook-2-agent, replaced just before the service returned, took a response that was 15 s old for current, since non-readers do so up to 20 s, and did without its first read, which had brought the new revision before.

Change: only a response of the last five seconds lets a process that starts do without its read; a watch ends after three. On the platform the limit is 2.5 s as before.

Test: a_process_that_starts_while_the_readers_get_no_response_reads (the rule before gave no read).

--- a/src/membership/configuration_sync.cpp
+++ b/src/membership/configuration_sync.cpp
@@ -11,6 +11,11 @@
 constexpr base::Duration kRetainedStatePullInterval = std::chrono::seconds(2);
 constexpr unsigned kMaxRetainedStatePulls = 6; // the last is about a minute after the start
 constexpr base::Duration kPeerDocumentsTimeout = std::chrono::seconds(1);
+
+/// Age of the newest response while readers watch the service without failures: a watch ends after
+/// three seconds, and its result spreads within two.
+constexpr base::Duration kMaxCurrentAge = std::chrono::seconds(5);
+
 constexpr unsigned kMaxRejectedKeyPulls = 3; // peers queried for an accepted version of a key
 
 std::uint32_t toMilliseconds(base::Duration aAge)
@@ -149,7 +154,7 @@
 void ConfigurationSync::decideFirstRead(base::Time aNow)
 {
   const auto age = serviceAge(aNow);
-  const bool isPeerCurrent = age && *age < mSettings.mServiceStaleAfter;
+  const bool isPeerCurrent = age && *age < std::min(mSettings.mServiceStaleAfter, kMaxCurrentAge);
   if (isPeerCurrent && mConfirmation.isConfirmed()) {
     mServiceSchedule.skipFirstRead();
     mFirstReadDecision.reset();
--- a/tests/unit/test_configuration_sync.cpp
+++ b/tests/unit/test_configuration_sync.cpp
@@ -302,6 +302,13 @@
   BOOST_TEST((start.firstRead() == 300ms));
 }
 
+// Guards against changes that stay unnoticed after an outage of the service: the readers' next
+// reads may be up to a minute away, and a process that starts reads at once.
+BOOST_AUTO_TEST_CASE(a_process_that_starts_while_the_readers_get_no_response_reads)
+{
+  BOOST_TEST((StartBesidePeer(6s).firstRead() == 300ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_process_that_starts_reads_if_the_documents_of_its_peer_do_not_arrive)
 {
   StartBesidePeer start(300ms);
