Do without the first read only where readers retry soon

The read of the agent that was replaced then had brought the change before.

Change: a process that starts does without its read only if readers retry within five seconds.

Test: a_process_that_starts_reads_if_the_readers_may_back_off_for_long.

--- a/src/membership/configuration_sync.cpp
+++ b/src/membership/configuration_sync.cpp
@@ -154,7 +154,10 @@
 void ConfigurationSync::decideFirstRead(base::Time aNow)
 {
   const auto age = serviceAge(aNow);
-  const bool isPeerCurrent = age && *age < std::min(mSettings.mServiceStaleAfter, kMaxCurrentAge);
+  // Readers that back off for long may miss the end of an outage, which a first read notices.
+  const bool doReadersRetrySoon = mSettings.mServiceMaxBackoff <= kMaxCurrentAge;
+  const bool isPeerCurrent =
+    doReadersRetrySoon && age && *age < std::min(mSettings.mServiceStaleAfter, kMaxCurrentAge);
   if (isPeerCurrent && mConfirmation.isConfirmed()) {
     mServiceSchedule.skipFirstRead();
     mFirstReadDecision.reset();
--- a/tests/unit/test_configuration_sync.cpp
+++ b/tests/unit/test_configuration_sync.cpp
@@ -235,7 +235,10 @@
 /// age aAge.
 struct StartBesidePeer
 {
-  explicit StartBesidePeer(base::Duration aAge, bool aIsConfirmed = true)
+  explicit StartBesidePeer(base::Duration aAge,
+                           bool aIsConfirmed = true,
+                           const membership::Settings& aSettings = settings())
+    : mProcess(aSettings)
   {
     for (const auto& request : replyRequestsOf(mProcess.start(kStart))) {
       auto reply = replyTo(request, aIsConfirmed);
@@ -265,6 +268,7 @@
     auto settings = settingsOf(nonReader());
     settings.mSeeds = { kPeer };
     settings.mServiceIsLinearizable = true;
+    settings.mServiceMaxBackoff = 1s;
     return settings;
   }
 
@@ -279,7 +283,7 @@
     }
   }
 
-  membership::ConfigurationSync mProcess{ settings() };
+  membership::ConfigurationSync mProcess;
   bool mDeliversDocuments = true;
 };
 
@@ -304,6 +308,13 @@
 
 // Guards against changes that stay unnoticed after an outage of the service: the readers' next
 // reads may be up to a minute away, and a process that starts reads at once.
+BOOST_AUTO_TEST_CASE(a_process_that_starts_reads_if_the_readers_may_back_off_for_long)
+{
+  auto settings = StartBesidePeer::settings();
+  settings.mServiceMaxBackoff = 60s;
+  BOOST_TEST((StartBesidePeer(4s, true, settings).firstRead() == 300ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_process_that_starts_while_the_readers_get_no_response_reads)
 {
   BOOST_TEST((StartBesidePeer(6s).firstRead() == 300ms));
