--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -259,6 +259,20 @@
   return documents;
 }
 
+std::vector<Document> DocumentStore::outdatedDocuments(
+  const std::vector<Document>& aDocuments) const
+{
+  std::vector<Document> outdated;
+  for (const Document& document : aDocuments) {
+    const auto found = mAccepted.find(document.mKey);
+    if (found != mAccepted.end() && found->second.mRevision >= document.mRevision &&
+        found->second.mText != document.mText) {
+      outdated.push_back(document);
+    }
+  }
+  return outdated;
+}
+
 std::vector<std::string> DocumentStore::keysWithPrefix(const std::string& aPrefix) const
 {
   std::vector<std::string> keys;
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -56,6 +56,10 @@
   /// snapshot. @note O(n log n)
   std::vector<Document> removalsImpliedBy(const DocumentBatch& aBatch) const;
 
+  /// @brief Documents of aDocuments that merge() ignores as stale although their text differs from
+  /// the accepted one.
+  std::vector<Document> outdatedDocuments(const std::vector<Document>& aDocuments) const;
+
   /// @brief Accepted documents of the given keys, including tombstones. Keys without an accepted
   /// document are skipped.
   std::vector<Document> documentsForKeys(const std::vector<std::string>& aKeys) const;
--- a/src/membership/runtime.cpp
+++ b/src/membership/runtime.cpp
@@ -3,6 +3,7 @@
 #include "membership/configuration_changes.hpp"
 #include "wire/codec.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -17,6 +18,7 @@
 constexpr base::Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr base::Duration kSettingsReloadInterval = std::chrono::seconds(2); // polls the file
 constexpr base::Duration kBudgetBurst = std::chrono::seconds(5);
+constexpr std::size_t kMaxOutdatedDocumentEvents = 16; // per batch
 constexpr std::size_t kMaxPullReplyBytes = 256 * 1024; // document text in one reply
 constexpr std::size_t kStreamOverheadBytes = 400;      // TCP and IP headers of a short connection
 constexpr std::size_t kServiceRequestBytes = 250;      // HTTP request with headers
@@ -259,6 +261,7 @@
 {
   const base::Time arrived = net::MainLoop::now();
   const config::ConfigurationPtr before = mStore.configuration();
+  logOutdated(aBatch, aSource);
   for (const auto& error : mStore.merge(aBatch)) {
     mLog.write({ EventKind::kConfigRejected,
                  { { "revision", std::to_string(aBatch.mRevision) },
@@ -277,6 +280,25 @@
   perform(mSync.apply(net::MainLoop::now(), *mStore.configuration(), mStore.rejectedKeys()));
 }
 
+void Runtime::logOutdated(const config::DocumentBatch& aBatch, const std::string& aSource)
+{
+  std::vector<config::Document> outdated = mStore.outdatedDocuments(aBatch.mDocuments);
+  const std::size_t surplus =
+    outdated.size() - std::min(outdated.size(), kMaxOutdatedDocumentEvents);
+  outdated.resize(outdated.size() - surplus);
+  for (const config::Document& document : outdated) {
+    const auto accepted = mStore.documentsForKeys({ document.mKey });
+    mLog.write({ EventKind::kConfigOutdated,
+                 { { "key", document.mKey },
+                   { "revision", std::to_string(document.mRevision) },
+                   { "accepted", std::to_string(accepted.front().mRevision) },
+                   { "source", aSource } } });
+  }
+  if (surplus > 0) {
+    mLog.write({ EventKind::kLogSuppressed, { { "lines", std::to_string(surplus) } } });
+  }
+}
+
 void Runtime::countControlMessage(ControlKind aKind,
                                   const std::string& aDirection,
                                   std::size_t aBytes)
--- a/src/membership/runtime.hpp
+++ b/src/membership/runtime.hpp
@@ -87,6 +87,7 @@
   void onPullReply(flow::Endpoint aPeer, const std::optional<net::ReceivedMessage>& aReply);
   flow::Bytes makePullReply(std::span<const std::byte> aRequest);
   void merge(const config::DocumentBatch& aBatch, const std::string& aSource);
+  void logOutdated(const config::DocumentBatch& aBatch, const std::string& aSource);
   void countControlMessage(ControlKind aKind, const std::string& aDirection, std::size_t aBytes);
 
   RuntimeSettings mSettings;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,24 @@
 
 namespace cornelcross::net {
 
+namespace {
+
+std::map<std::string, std::string> headersOf(SoupMessage* aMessage)
+{
+  std::map<std::string, std::string> headers;
+  soup_message_headers_foreach(
+    soup_message_get_response_headers(aMessage),
+    [](const char* aName, const char* aValue, gpointer aHeaders) {
+      char* name = g_ascii_strdown(aName, -1);
+      static_cast<std::map<std::string, std::string>*>(aHeaders)->insert_or_assign(name, aValue);
+      g_free(name);
+    },
+    &headers);
+  return headers;
+}
+
+} // namespace
+
 struct HttpClient::Request
 {
   explicit Request(base::Duration aDeadline) : mDeadline(aDeadline) {}
@@ -86,7 +104,9 @@
   }
   gsize size = 0;
   const auto* data = static_cast<const char*>(g_bytes_get_data(aBytes, &size));
-  return HttpClientResponse{ soup_message_get_status(aMessage), std::string(data, size) };
+  return HttpClientResponse{ soup_message_get_status(aMessage),
+                             std::string(data, size),
+                             headersOf(aMessage) };
 }
 
 } // namespace cornelcross::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <libsoup/soup.h>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -15,6 +16,7 @@
 {
   unsigned mStatus = 0;
   std::string mBody;
+  std::map<std::string, std::string> mHeaders; ///< by name in lower case
 
   auto operator<=>(const HttpClientResponse&) const = default;
 };
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -49,6 +49,10 @@
       return "service_changed";
     case EventKind::kFlowReset:
       return "flow_reset";
+    case EventKind::kConfigListed:
+      return "config_listed";
+    case EventKind::kConfigOutdated:
+      return "config_outdated";
   }
   return "unknown";
 }
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -32,6 +32,8 @@
   kAddressChanged,
   kServiceChanged,
   kFlowReset,
+  kConfigListed,
+  kConfigOutdated,
 };
 
 /// @brief Name of the event in a log line.
