--- a/tests/store/test_store_source.cpp
+++ b/tests/store/test_store_source.cpp
@@ -41,7 +41,7 @@
   {
     const base::Time end = net::MainLoop::now() + aTimeout;
     while (net::MainLoop::now() < end) {
-      if (mDocuments.configuration()->servesNewFlows(aService, kAddress)) {
+      if (mDocuments.configuration()->servesNewFlows(aService, mAddress)) {
         return true;
       }
       mIsReading = true;
@@ -53,7 +53,7 @@
     return false;
   }
 
-  const flow::Endpoint kAddress = *flow::Endpoint::parse("198.18.0.1:443");
+  const flow::Endpoint mAddress = *flow::Endpoint::parse("198.18.0.1:443");
   config::DocumentStore mDocuments;
   bool mIsReading = false;
   net::DocumentSource mSource;
