Order revisions by the restores of the store before its revision numbers

Cause: the store returns from an older copy and issues its revisions again. The change of 21.5 s got revision 15, which the change of 12.0 s had before, and every process keeps the document of the highest revision. Ruled out by the log: that readers don't receive the change (config_listed has version 12), that the older copy is applied (no process goes back to version 5 or 7).

A revision now has an epoch in its upper 20 bits, which rises with each restore that the store states. StoreReader, taken out of the HTTP code, checks that statement in each response: late ones are rejected, a list whose pages straddle a restore is read again, a corrupt header has no effect on later responses. Revisions of the first epoch equal those of before, so that programs of both kinds order them alike.

--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -10,8 +10,8 @@
 /// a peer.
 struct Document
 {
-  std::string mKey;            ///< "service/NAME", "address/ADDRESS", "zones" or "workspaces"
-  std::uint64_t mRevision = 0; ///< revision of the configuration service that wrote this version
+  std::string mKey;                 ///< see document_key.hpp
+  std::uint64_t mRevision = 0;      ///< of the configuration service; see revision.hpp
   std::optional<std::string> mText; ///< JSON; empty for a tombstone, which records a deletion
 
   auto operator<=>(const Document&) const = default;
--- a/tests/store/store_content.cpp
+++ b/tests/platform/store/store_content.cpp
@@ -1,4 +1,4 @@
-#include "store/store_content.hpp"
+#include "platform/store/store_content.hpp"
 
 #include <glib.h>
 #include <memory>
--- /dev/null
+++ b/tests/platform/store/store_process.cpp
@@ -0,0 +1,62 @@
+#include "platform/store/store_process.hpp"
+
+namespace cornelcross::test {
+
+using namespace std::chrono_literals;
+
+platform::StoreReader StoreProcess::makeReader()
+{
+  return { { { "a", "b" }, 8172, 1000ms },
+           { [](const net::ConfigResult&) {},
+             [this](const std::string& aKey) -> std::optional<config::Document> {
+               const auto found = mDocuments.documentsForKeys({ aKey });
+               return found.empty() ? std::nullopt : std::optional(found.front());
+             },
+             [this](const std::string& aPrefix) { return mDocuments.keysWithPrefix(aPrefix); },
+             [this](const telemetry::Event& aEvent) { mEvents.push_back(aEvent); } } };
+}
+
+bool StoreProcess::read(const Respond& aRespond, unsigned aWaitSeconds)
+{
+  platform::StoreReader::Step step = mReader.start(mDocuments.revision(), aWaitSeconds);
+  while (const auto* request = std::get_if<platform::StoreRequest>(&step)) {
+    step = mReader.onResult(mNow, aRespond(request->mPath));
+  }
+  const auto& result = std::get<net::ConfigResult>(step);
+  mResponse.reset();
+  if (const auto* failure = std::get_if<net::ConfigFailure>(&result)) {
+    mFailure = failure->mReason;
+    return false;
+  }
+  mResponse = std::get<net::ConfigResponse>(result);
+  mDocuments.merge(mResponse->mBatch);
+  return true;
+}
+
+void StoreProcess::pullFrom(const StoreProcess& aPeer)
+{
+  if (aPeer.revision() > revision()) {
+    mDocuments.merge(aPeer.mDocuments.batchAfter(revision(), SIZE_MAX));
+  }
+}
+
+std::string StoreProcess::routedService() const
+{
+  const auto& addresses = mDocuments.configuration()->mAddresses;
+  const auto route = addresses.find(*flow::Endpoint::parse("198.18.0.1:443"));
+  return route == addresses.end() ? "" : route->second.mShares.front().mService;
+}
+
+std::set<std::string> StoreProcess::upstreams(const std::string& aService) const
+{
+  std::set<std::string> upstreams;
+  const auto& services = mDocuments.configuration()->mServices;
+  if (const auto service = services.find(aService); service != services.end()) {
+    for (const config::Upstream& upstream : service->second.mUpstreams) {
+      upstreams.insert(upstream.mName + " " + std::string(config::toString(upstream.mState)));
+    }
+  }
+  return upstreams;
+}
+
+} // namespace cornelcross::test
--- /dev/null
+++ b/tests/platform/store/store_process.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "config/document_store.hpp"
+#include "platform/store/store_content.hpp"
+#include "platform/store_reader.hpp"
+
+namespace cornelcross::test {
+
+/// @brief A process that reads the store and pulls from its peers, without I/O.
+class StoreProcess
+{
+public:
+  /// Makes the response to a path.
+  using Respond = std::function<net::HttpResult(const std::string&)>;
+
+  explicit StoreProcess(base::Time& aNow) : mNow(aNow) {}
+
+  /// @brief Reads once, with one response of aRespond for each request.
+  /// @return true if the read succeeded
+  bool read(const Respond& aRespond, unsigned aWaitSeconds = 0);
+
+  /// @brief Reads aContent once.
+  bool read(const StoreContent& aContent, unsigned aWaitSeconds = 0)
+  {
+    return read([&](const std::string& aPath) { return aContent.respond(aPath); }, aWaitSeconds);
+  }
+
+  /// @brief Accepts the changes that aPeer has and this process lacks.
+  void pullFrom(const StoreProcess& aPeer);
+
+  /// @brief Service to which the address 198.18.0.1:443 leads; empty if there is no such address.
+  std::string routedService() const;
+
+  /// @brief Names of the upstreams of a service, each with its state.
+  std::set<std::string> upstreams(const std::string& aService = "log") const;
+
+  bool isZoneInService(const std::string& aZone) const
+  {
+    return mDocuments.configuration()->isZoneInService(aZone);
+  }
+
+  std::uint64_t revision() const { return mDocuments.revision(); }
+
+  std::string mFailure;                         ///< reason why the last read failed
+  std::optional<net::ConfigResponse> mResponse; ///< of the last read, if it succeeded
+  std::vector<telemetry::Event> mEvents;
+
+private:
+  base::Time& mNow;
+  config::DocumentStore mDocuments;
+  platform::StoreReader mReader = makeReader();
+
+  platform::StoreReader makeReader();
+};
+
+} // namespace cornelcross::test
--- a/tests/store/store_server.cpp
+++ b/tests/platform/store/store_server.cpp
@@ -1,4 +1,4 @@
-#include "store/store_server.hpp"
+#include "platform/store/store_server.hpp"
 
 #include <stdexcept>
 
--- a/tests/store/store_server.hpp
+++ b/tests/platform/store/store_server.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "flow/endpoint.hpp"
-#include "store/store_content.hpp"
+#include "platform/store/store_content.hpp"
 
 namespace cornelcross::test {
 
--- a/tests/store/test_store_source.cpp
+++ b/tests/platform/store/test_store_source.cpp
@@ -1,8 +1,8 @@
 #include "config/document_store.hpp"
 #include "net/main_loop.hpp"
+#include "platform/store/items.hpp"
+#include "platform/store/store_server.hpp"
 #include "platform/store_source.hpp"
-#include "store/items.hpp"
-#include "store/store_server.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- /dev/null
+++ b/tests/platform/test_store_reader.cpp
@@ -0,0 +1,178 @@
+#include "platform/store/items.hpp"
+#include "platform/store/store_process.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store with a configuration of version 5, a copy of it, and two changes since.
+struct RestoredStore
+{
+  RestoredStore()
+  {
+    mStore.put("servers/x", test::makeBackend("log", "10.0.0.1:80"));
+    mStore.put("op/config", test::makeConfig(5, "log"));
+    mCopy = mStore;
+    mStore.put("op/config", test::makeConfig(7, "cert"));
+    mStore.put("op/config", test::makeConfig(10, "log"));
+  }
+
+  /// Returns to the copy; the operators write their newest configuration again.
+  void restore()
+  {
+    mStore.restore(mCopy);
+    mStore.put("op/config", test::makeConfig(10, "log"));
+  }
+
+  base::Time mNow{ 100s };
+  test::StoreContent mStore;
+  test::StoreContent mCopy;
+  test::StoreProcess mProcess{ mNow };
+  test::StoreProcess mPeer{ mNow };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(store_reader, RestoredStore)
+
+// Guards against changes that are dropped because a restored store issues their revision again.
+BOOST_AUTO_TEST_CASE(a_change_whose_revision_was_issued_before_is_applied_by_readers_and_peers)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  mPeer.pullFrom(mProcess);
+  BOOST_TEST(mPeer.routedService() == "log");
+  restore();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  BOOST_TEST(mProcess.read(mStore));
+  BOOST_TEST(mProcess.routedService() == "cert");
+  mPeer.pullFrom(mProcess);
+  BOOST_TEST(mPeer.routedService() == "cert");
+}
+
+// Guards against the same loss in a watch, whose revision the restored store has reached again.
+BOOST_AUTO_TEST_CASE(a_watch_that_a_restored_store_continues_is_replaced_by_a_list)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  restore();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
+  BOOST_TEST(mProcess.read(mStore, 3));
+  BOOST_TEST(mProcess.routedService() == "cert");
+}
+
+BOOST_AUTO_TEST_CASE(a_second_restore_is_applied_like_the_first)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  restore();
+  BOOST_TEST(mProcess.read(mStore));
+  restore();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  BOOST_TEST(mProcess.read(mStore));
+  BOOST_TEST(mProcess.routedService() == "cert");
+}
+
+// Guards against a restore that two processes see in a different order: one has it from a peer.
+BOOST_AUTO_TEST_CASE(a_response_from_before_a_restore_that_a_peer_has_seen_is_rejected)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  const test::StoreContent late = mStore;
+  restore();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  BOOST_TEST(mPeer.read(mStore));
+  mProcess.pullFrom(mPeer);
+  BOOST_TEST(!mProcess.read(late));
+  BOOST_TEST(mProcess.mFailure == "response after 0 restores, expected 1");
+  BOOST_TEST(mProcess.routedService() == "cert");
+  BOOST_TEST(mProcess.read(mStore));
+}
+
+BOOST_AUTO_TEST_CASE(a_list_whose_pages_straddle_a_restore_is_read_again)
+{
+  mStore.mPageSize = 1;
+  BOOST_TEST(mProcess.read(mStore));
+  int requests = 0;
+  BOOST_TEST(mProcess.read([&](const std::string& aPath) {
+    if (++requests == 2) {
+      restore();
+      mStore.put("op/config", test::makeConfig(12, "cert"));
+      mStore.mPageSize = 1;
+    }
+    return mStore.respond(aPath);
+  }));
+  BOOST_TEST(mProcess.routedService() == "cert");
+  BOOST_TEST(mProcess.upstreams().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_without_the_header_is_read_as_one_without_restores)
+{
+  mStore.mEraHeader.reset();
+  BOOST_TEST(mProcess.read(mStore));
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  BOOST_TEST(mProcess.read(mStore, 3));
+  BOOST_TEST(mProcess.routedService() == "cert");
+  mStore.mEraHeader = "1";
+  BOOST_TEST(mProcess.read(mStore, 3));
+}
+
+BOOST_AUTO_TEST_CASE(a_restored_store_whose_header_is_missing_does_not_bring_the_copy_back)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  test::StoreContent copy = mCopy;
+  copy.mEraHeader.reset();
+  BOOST_TEST(!mProcess.read(copy));
+  BOOST_TEST(mProcess.mFailure == "the store went back from revision 4 to 2 without a restore");
+  BOOST_TEST(mProcess.routedService() == "log");
+  restore();
+  BOOST_TEST(mProcess.read(mStore));
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_header_fails_the_read_and_the_next_read_succeeds)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  for (const std::string header : { "", "two", "-1", "1.5", "2,2", "99999999999999999999999" }) {
+    mStore.mEraHeader = header;
+    BOOST_TEST(!mProcess.read(mStore));
+    BOOST_TEST(mProcess.mFailure == "malformed count of restores \"" + header + "\"");
+  }
+  mStore.mEraHeader = "1";
+  BOOST_TEST(mProcess.read(mStore));
+}
+
+// Guards against a single corrupt header that makes all later responses seem late.
+BOOST_AUTO_TEST_CASE(a_count_that_jumps_in_one_response_only_has_no_effect)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  int requests = 0;
+  BOOST_TEST(mProcess.read([&](const std::string& aPath) {
+    test::StoreContent content = mStore;
+    content.mEraHeader = ++requests == 1 ? "4711" : "1";
+    return content.respond(aPath);
+  }));
+  BOOST_TEST(mProcess.read(mStore, 3));
+}
+
+BOOST_AUTO_TEST_CASE(a_count_that_jumps_and_stays_is_adopted)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  restore();
+  mStore.mEraHeader = "9";
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  BOOST_TEST(mProcess.read(mStore));
+  BOOST_TEST(mProcess.routedService() == "cert");
+}
+
+BOOST_AUTO_TEST_CASE(a_count_that_changes_with_each_response_ends_the_read)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  int count = 1;
+  BOOST_TEST(!mProcess.read([&](const std::string& aPath) {
+    mStore.mEraHeader = std::to_string(++count);
+    return mStore.respond(aPath);
+  }));
+  BOOST_TEST(mProcess.mFailure == "the count of restores changed with each response");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_store_translator.cpp
+++ b/tests/platform/test_store_translator.cpp
@@ -37,7 +37,7 @@
 {
   void replaceAll(const std::vector<platform::StoreItem>& aItems)
   {
-    mTranslator.applySnapshot(mNow, aItems);
+    mTranslator.applySnapshot(mNow, 0, aItems);
     mergeDocuments();
   }
 
