--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -141,6 +141,24 @@
   BOOST_TEST(mProcess.read(mStore));
 }
 
+// Guards against a backend that stays listed after its record has expired: the document without it
+// was stale, because the store issues no revision for the end of the time for registering again.
+BOOST_AUTO_TEST_CASE(
+  a_backend_that_does_not_register_again_is_removed_without_a_change_of_the_store)
+{
+  mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
+  BOOST_TEST(mProcess.read(mStore));
+  mNow += 5s;
+  mStore.remove("servers/y");
+  BOOST_TEST(mProcess.read(mStore));
+  BOOST_TEST(mProcess.upstreams().size() == 2U);
+  for (int i = 0; i < 6; ++i) {
+    mNow += 500ms;
+    BOOST_TEST(mProcess.read(mStore, 3));
+  }
+  BOOST_TEST(mProcess.upstreams().size() == 1U);
+}
+
 // Guards against a single corrupt header that makes all later responses seem late.
 BOOST_AUTO_TEST_CASE(a_count_that_jumps_in_one_response_only_has_no_effect)
 {
