--- a/tests/platform/store/store_process.cpp
+++ b/tests/platform/store/store_process.cpp
@@ -18,7 +18,7 @@
 
 bool StoreProcess::read(const Respond& aRespond, unsigned aWaitSeconds)
 {
-  platform::StoreReader::Step step = mReader.start(mDocuments.revision(), aWaitSeconds);
+  platform::StoreReader::Step step = mReader.start(mNow, mDocuments.revision(), aWaitSeconds);
   while (const auto* request = std::get_if<platform::StoreRequest>(&step)) {
     step = mReader.onResult(mNow, aRespond(request->mPath));
   }
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -1,5 +1,4 @@
-#include "platform/store/items.hpp"
-#include "platform/store/store_process.hpp"
+#include "platform/store/restored_store.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,35 +7,14 @@
 
 namespace {
 
-/// A store with a configuration of version 5, a copy of it, and two changes since.
-struct RestoredStore
+struct ChangedStore : test::RestoredStore
 {
-  RestoredStore()
-  {
-    mStore.put("servers/x", test::makeBackend("log", "10.0.0.1:80"));
-    mStore.put("op/config", test::makeConfig(5, "log"));
-    mCopy = mStore;
-    mStore.put("op/config", test::makeConfig(7, "cert"));
-    mStore.put("op/config", test::makeConfig(10, "log"));
-  }
-
-  /// Returns to the copy; the operators write their newest configuration again.
-  void restore()
-  {
-    mStore.restore(mCopy);
-    mStore.put("op/config", test::makeConfig(10, "log"));
-  }
-
-  base::Time mNow{ 100s };
-  test::StoreContent mStore;
-  test::StoreContent mCopy;
-  test::StoreProcess mProcess{ mNow };
-  test::StoreProcess mPeer{ mNow };
+  ChangedStore() { changeAfterCopy(); }
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(store_reader, RestoredStore)
+BOOST_FIXTURE_TEST_SUITE(store_reader, ChangedStore)
 
 // Guards against changes that are dropped because a restored store issues their revision again.
 BOOST_AUTO_TEST_CASE(a_change_whose_revision_was_issued_before_is_applied_by_readers_and_peers)
@@ -78,6 +56,7 @@
 BOOST_AUTO_TEST_CASE(a_response_from_before_a_restore_that_a_peer_has_seen_is_rejected)
 {
   BOOST_TEST(mProcess.read(mStore));
+  BOOST_TEST(mPeer.read(mStore));
   const test::StoreContent late = mStore;
   restore();
   mStore.put("op/config", test::makeConfig(12, "cert"));
--- a/tests/platform/test_store_translator.cpp
+++ b/tests/platform/test_store_translator.cpp
@@ -37,7 +37,7 @@
 {
   void replaceAll(const std::vector<platform::StoreItem>& aItems)
   {
-    mTranslator.applySnapshot(mNow, 0, aItems);
+    mTranslator.applySnapshot(mNow, 0, mRevision, aItems);
     mergeDocuments();
   }
 
