Pass the version of the active configuration on to readers that have not read it

Versions decide between configurations during a recovery, but a process that had not read the store before, or had been cut off from it, did not know the version of what it had accepted from its peers: it took a configuration that was written again on the way to the newest one, and, after the recovery, the one of the copy.

Readers now leave the version in a document of its own.

--- a/src/config/document_key.hpp
+++ b/src/config/document_key.hpp
@@ -15,6 +15,11 @@
 inline constexpr std::string_view kZonesKey = "zones";
 inline constexpr std::string_view kWorkspacesKey = "workspaces";
 
+/// @brief Key of the document in which a reader of the configuration service leaves its state for
+/// the readers that follow it. Opaque to all other code. Processes send it on request only, because
+/// those that predate it would reject it.
+inline constexpr std::string_view kReaderStateKey = "reader_state";
+
 /// @brief Key of the document that describes a service.
 inline std::string serviceKey(const std::string& aName)
 {
--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -51,6 +51,9 @@
 ParseResult<DocumentValue> parseDocument(const Document& aDocument)
 {
   const std::string& key = aDocument.mKey;
+  if (key == kReaderStateKey) {
+    return DocumentValue{};
+  }
   if (!isServiceKey(key) && !isAddressKey(key) && key != kZonesKey && key != kWorkspacesKey) {
     return std::vector<ConfigError>{
       { key, "a key \"service/NAME\", \"address/ADDRESS\", \"zones\" or \"workspaces\"" }
@@ -222,7 +225,7 @@
   }
   for (const auto& [key, document] : mAccepted) {
     const bool mayBeDeleted = document.mText && document.mRevision <= aBatch.mRevision;
-    if (mayBeDeleted && !listed.contains(key)) {
+    if (mayBeDeleted && !listed.contains(key) && key != kReaderStateKey) {
       removals.push_back({ key, aBatch.mRevision, std::nullopt });
     }
   }
@@ -240,6 +243,9 @@
       return batch;
     }
     const Document& document = mAccepted.at(it->second);
+    if (document.mKey == kReaderStateKey) {
+      continue;
+    }
     bytes += document.mKey.size() + document.mText.value_or("").size();
     last = document.mRevision;
     batch.mDocuments.push_back(document);
@@ -328,6 +334,9 @@
 
 void DocumentStore::removeValue(const std::string& aKey, Configuration& aNext)
 {
+  if (aKey == kReaderStateKey) {
+    return;
+  }
   if (aKey == kZonesKey) {
     aNext.mZones.clear();
   } else if (aKey == kWorkspacesKey) {
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -43,7 +43,8 @@
   /// @return all errors of the batch
   std::vector<ConfigError> merge(const DocumentBatch& aBatch);
 
-  /// @brief Accepted documents with a revision above aRevision, including tombstones, oldest first.
+  /// @brief Accepted documents with a revision above aRevision, including tombstones, oldest first;
+  /// without the reader state.
   std::vector<Document> documentsAfter(std::uint64_t aRevision) const;
 
   /// @brief First part of documentsAfter(aRevision), limited to about aMaxBytes of keys and text.
--- a/src/membership/runtime.cpp
+++ b/src/membership/runtime.cpp
@@ -1,5 +1,6 @@
 #include "membership/runtime.hpp"
 
+#include "config/document_key.hpp"
 #include "membership/configuration_changes.hpp"
 #include "wire/codec.hpp"
 
@@ -179,7 +180,9 @@
 
 void Runtime::perform(const StartPull& aAction)
 {
-  const flow::Bytes request = wire::encode(aAction.mRequest);
+  wire::PullRequest pull = aAction.mRequest;
+  pull.mKeys.emplace_back(config::kReaderStateKey);
+  const flow::Bytes request = wire::encode(pull);
   const std::size_t bytes = request.size() + kStreamOverheadBytes;
   mBudget.charge(net::MainLoop::now(), bytes);
   countControlMessage(ControlKind::kPull, "out", bytes);
--- a/tests/platform/store/store_process.cpp
+++ b/tests/platform/store/store_process.cpp
@@ -1,5 +1,7 @@
 #include "platform/store/store_process.hpp"
 
+#include "config/document_key.hpp"
+
 namespace cornelcross::test {
 
 using namespace std::chrono_literals;
@@ -35,9 +37,16 @@
 
 void StoreProcess::pullFrom(const StoreProcess& aPeer)
 {
-  if (aPeer.revision() > revision()) {
-    mDocuments.merge(aPeer.mDocuments.batchAfter(revision(), SIZE_MAX));
+  if (aPeer.revision() <= revision()) {
+    return;
+  }
+  config::DocumentBatch batch = aPeer.mDocuments.batchAfter(revision(), SIZE_MAX);
+  if (!mIsOldProgram && !aPeer.mIsOldProgram) {
+    const std::string key(config::kReaderStateKey);
+    const auto found = aPeer.mDocuments.documentsForKeys({ key });
+    batch.mDocuments.insert(batch.mDocuments.end(), found.begin(), found.end());
   }
+  mDocuments.merge(batch);
 }
 
 std::string StoreProcess::routedService() const
--- a/tests/platform/store/store_process.hpp
+++ b/tests/platform/store/store_process.hpp
@@ -41,6 +41,9 @@
 
   std::uint64_t revision() const { return mDocuments.revision(); }
 
+  /// True for a program that predates the reader state and neither requests nor sends it.
+  bool mIsOldProgram = false;
+
   std::string mFailure;                         ///< reason why the last read failed
   std::optional<net::ConfigResponse> mResponse; ///< of the last read, if it succeeded
   std::vector<telemetry::Event> mEvents;
--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -379,4 +379,74 @@
   BOOST_TEST(path.ends_with("&waitMs=1000"));
 }
 
+// Guards against an older configuration that a reader publishes because it never read the newer
+// one.
+BOOST_AUTO_TEST_CASE(a_process_that_first_reads_during_a_recovery_knows_the_version_from_its_peers)
+{
+  changeAfterCopy();
+  mProcess.read(mStore);
+  mPeer.pullFrom(mProcess);
+  mStore.restore(mCopy);
+  mPeer.read(mStore);
+  mStore.put("op/config", test::makeConfig(7, "cert"));
+  mPeer.read(mStore, 3);
+  BOOST_TEST(mPeer.routedService() == "log");
+  mNow += 4s;
+  mPeer.read(mStore, 3);
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mPeer.read(mStore, 3);
+  BOOST_TEST(mPeer.routedService() == "cert");
+}
+
+BOOST_AUTO_TEST_CASE(an_older_configuration_stays_out_of_force_after_the_recovery_of_a_new_reader)
+{
+  changeAfterCopy();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mProcess.read(mStore);
+  mPeer.pullFrom(mProcess);
+  mStore.restore(mCopy);
+  for (int i = 0; i < 10; ++i) {
+    mPeer.read(mStore, 3);
+    BOOST_TEST(mPeer.routedService() == "cert");
+    mNow += 500ms;
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_reader_that_was_cut_off_keeps_the_version_of_its_peers)
+{
+  readAll();
+  changeAfterCopy();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mProcess.read(mStore);
+  mPeer.pullFrom(mProcess);
+  mStore.restore(mCopy);
+  mPeer.read(mStore);
+  BOOST_TEST(mPeer.routedService() == "cert");
+  mStore.put("op/config", test::makeConfig(10, "log"));
+  mPeer.read(mStore, 3);
+  BOOST_TEST(mPeer.routedService() == "cert");
+  mProcess.read(mStore);
+  mProcess.pullFrom(mPeer);
+  BOOST_TEST(mProcess.routedService() == "cert");
+}
+
+// Guards against a configuration that goes back while programs are replaced.
+BOOST_AUTO_TEST_CASE(a_new_program_that_reaches_only_an_old_one_keeps_its_configuration)
+{
+  changeAfterCopy();
+  mProcess.mIsOldProgram = true;
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mProcess.read(mStore);
+  mPeer.pullFrom(mProcess);
+  mStore.restore(mCopy);
+  mPeer.read(mStore);
+  BOOST_TEST(mPeer.routedService() == "cert");
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mStore.put("op/config", test::makeConfig(14, "log"));
+  mPeer.read(mStore, 3);
+  BOOST_TEST(mPeer.routedService() == "log");
+  mProcess.pullFrom(mPeer);
+  BOOST_TEST(mProcess.routedService() == "log");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/test_document_store.cpp
+++ b/tests/unit/test_document_store.cpp
@@ -135,4 +135,15 @@
   BOOST_TEST(store.rejectedKeys().empty());
 }
 
+// Guards against a document that programs which predate it would reject, with a warning each time.
+BOOST_AUTO_TEST_CASE(the_reader_state_is_sent_on_request_only_and_survives_a_snapshot)
+{
+  config::DocumentStore store;
+  store.merge(3, { { "zones", 3, kZonesIn }, { "reader_state", 3, "{}" } });
+  BOOST_TEST(store.batchAfter(0, SIZE_MAX).mDocuments.size() == 1U);
+  BOOST_TEST(store.documentsForKeys({ "reader_state" }).size() == 1U);
+  BOOST_TEST(store.merge({ 5, { { "zones", 4, kZonesOut } }, true }).empty());
+  BOOST_TEST(store.documentsForKeys({ "reader_state" }).front().mText.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
