Do not confirm a starting process by a service that recovers from an older copy

A process that starts confirms itself by one response of the store, because that is linearizable. During a recovery the response may lack active changes; a process that started then forwarded by the copy until it pulled from a peer.

--- a/src/membership/configuration_sync.cpp
+++ b/src/membership/configuration_sync.cpp
@@ -260,13 +260,14 @@
 }
 
 Actions ConfigurationSync::onServiceReadFinished(base::Time aNow,
-                                                 std::optional<std::uint64_t> aRevision)
+                                                 std::optional<std::uint64_t> aRevision,
+                                                 bool aIsCurrent)
 {
   Actions actions = detectPause(aNow);
-  const bool isCurrent = aRevision && *aRevision >= mRevision;
-  mServiceSchedule.onReadFinished(aNow, isCurrent, mRandom);
+  const bool isUpToDate = aRevision && *aRevision >= mRevision;
+  mServiceSchedule.onReadFinished(aNow, isUpToDate, mRandom);
   if (aRevision) {
-    mConfirmation.onServiceResponse(*aRevision);
+    mConfirmation.onServiceResponse(*aRevision, aIsCurrent);
   }
   readServiceIfDue(aNow, actions);
   updateConfirmation(aNow, actions);
--- a/src/membership/configuration_sync.hpp
+++ b/src/membership/configuration_sync.hpp
@@ -44,8 +44,11 @@
 
   /// @brief Handles the end of a read of the configuration service, after apply() for documents
   /// that it delivered.
-  /// @param aRevision revision of the response; empty if the read failed
-  Actions onServiceReadFinished(base::Time aNow, std::optional<std::uint64_t> aRevision);
+  /// @param aRevision  revision of the response; empty if the read failed
+  /// @param aIsCurrent false if the service may lack active changes
+  Actions onServiceReadFinished(base::Time aNow,
+                                std::optional<std::uint64_t> aRevision,
+                                bool aIsCurrent = true);
 
   /// @brief Handles the activation of a configuration: updates the peers and announces the
   /// revision.
--- a/src/membership/confirmation.cpp
+++ b/src/membership/confirmation.cpp
@@ -10,6 +10,7 @@
   mHasTimedOut = false;
   mHasConfirmedReply = false;
   mHasServiceResponse = false;
+  mIsServiceCurrent = false;
   mTargetRevision = 0;
   mReachedRevision = 0;
   mLastProgress = aNow;
@@ -34,10 +35,11 @@
   mHasConfirmedReply = mHasConfirmedReply || aIsConfirmed;
 }
 
-void Confirmation::onServiceResponse(std::uint64_t aRevision)
+void Confirmation::onServiceResponse(std::uint64_t aRevision, bool aIsCurrent)
 {
   mTargetRevision = std::max(mTargetRevision, aRevision);
   mHasServiceResponse = true;
+  mIsServiceCurrent = mIsServiceCurrent || aIsCurrent;
 }
 
 bool Confirmation::isConditionMet(base::Time aNow, std::uint64_t aRevision) const
@@ -47,7 +49,7 @@
   }
   const bool areRepliesComplete =
     mPendingPeers.empty() || aNow - mFirstQuerySent >= mSettings.mPeerReplyTimeout;
-  if (mHasServiceResponse && mSettings.mServiceIsLinearizable) {
+  if (mIsServiceCurrent && mSettings.mServiceIsLinearizable) {
     return true;
   }
   return mHasConfirmedReply || (mHasServiceResponse && areRepliesComplete);
--- a/src/membership/confirmation.hpp
+++ b/src/membership/confirmation.hpp
@@ -13,7 +13,8 @@
 /// process has reached the newest revision that any reply of the round reports, and
 /// - a peer whose own revision is confirmed has replied, or
 /// - the configuration service has responded, and every queried peer has replied or has exceeded
-///   Settings::mPeerReplyTimeout; if the service is linearizable, its response alone suffices.
+///   Settings::mPeerReplyTimeout; if the service is linearizable and lacks no active change, its
+///   response alone suffices.
 ///
 /// A round also ends Settings::mConfirmationTimeout after its last progress if the process has a
 /// configuration: the peers and the service may all be unreachable for hours.
@@ -34,7 +35,8 @@
   void onReply(flow::Endpoint aPeer, std::uint64_t aRevision, bool aIsConfirmed);
 
   /// @brief Handles a response of the configuration service, which is at aRevision.
-  void onServiceResponse(std::uint64_t aRevision);
+  /// @param aIsCurrent false if the service may lack active changes
+  void onServiceResponse(std::uint64_t aRevision, bool aIsCurrent);
 
   /// @brief Ends the round if aRevision, the active one, is confirmed or the round has timed out.
   /// @return true if this call ended the round
@@ -54,6 +56,7 @@
   bool mHasTimedOut = false;
   bool mHasConfirmedReply = false;
   bool mHasServiceResponse = false;
+  bool mIsServiceCurrent = false;     ///< a response of the round lacks no active change
   std::uint64_t mTargetRevision = 0;  ///< newest revision that a reply of the round reports
   std::uint64_t mReachedRevision = 0; ///< active revision at the last update
   base::Time mLastProgress;           ///< start of the round or last step towards mTargetRevision
--- a/src/membership/runtime.cpp
+++ b/src/membership/runtime.cpp
@@ -223,7 +223,8 @@
   mBudget.charge(net::MainLoop::now(), response->mBodyBytes);
   countControlMessage(ControlKind::kServiceRead, "in", response->mBodyBytes);
   merge(response->mBatch, "service");
-  perform(mSync.onServiceReadFinished(net::MainLoop::now(), response->mBatch.mRevision));
+  perform(mSync.onServiceReadFinished(
+    net::MainLoop::now(), response->mBatch.mRevision, response->mIsCurrent));
 }
 
 void Runtime::onPullReply(flow::Endpoint aPeer, const std::optional<net::ReceivedMessage>& aReply)
--- a/src/net/config_client.hpp
+++ b/src/net/config_client.hpp
@@ -14,6 +14,9 @@
 {
   config::DocumentBatch mBatch;
   std::size_t mBodyBytes = 0; ///< size of the HTTP body
+
+  /// False while the service recovers from an older copy: it may lack changes that are active.
+  bool mIsCurrent = true;
 };
 
 /// @brief Reason why a read of the configuration service failed.
--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -362,6 +362,19 @@
   BOOST_TEST(mPeer.routedService() == "log");
 }
 
+BOOST_AUTO_TEST_CASE(responses_of_a_store_that_recovers_do_not_count_as_current)
+{
+  mCopy = mStore;
+  readAll();
+  BOOST_TEST(mProcess.mResponse->mIsCurrent);
+  mStore.restore(mCopy);
+  readAll();
+  BOOST_TEST(!mProcess.mResponse->mIsCurrent);
+  endRecovery();
+  readAll();
+  BOOST_TEST(mProcess.mResponse->mIsCurrent);
+}
+
 BOOST_AUTO_TEST_CASE(a_watch_during_a_recovery_ends_with_it)
 {
   mCopy = mStore;
--- a/tests/unit/test_configuration_sync.cpp
+++ b/tests/unit/test_configuration_sync.cpp
@@ -348,6 +348,23 @@
   BOOST_TEST(process.mayForward());
 }
 
+// Guards against a process that starts while the service recovers from an older copy and forwards
+// by the copy although its peers have newer documents.
+BOOST_AUTO_TEST_CASE(a_read_from_a_service_that_may_lack_changes_does_not_suffice_to_confirm)
+{
+  auto settings = settingsOf();
+  settings.mServiceIsLinearizable = true;
+  membership::ConfigurationSync process(settings);
+  process.start(kStart);
+  process.apply(kStart, test::makeConfiguration(3, 5), {});
+  process.onServiceReadFinished(kStart, 5, false);
+  BOOST_TEST(!process.mayForward());
+  process.onTick(kStart + settings.mPeerReplyTimeout - 10ms);
+  BOOST_TEST(!process.mayForward());
+  process.onTick(kStart + settings.mPeerReplyTimeout);
+  BOOST_TEST(process.mayForward());
+}
+
 BOOST_AUTO_TEST_CASE(processes_that_receive_the_same_newer_revision_spread_their_pulls)
 {
   constexpr int kProcesses = 400;
