Reject revision numbers that reach into the epoch; show the epoch as a metric

A number of 2^44 or more, or a negative one, would raise the epoch of a revision for good. Such a response is malformed now. The epoch in force is a gauge, so that a restore of the service shows without the logs.

--- a/src/telemetry/config_metrics.cpp
+++ b/src/telemetry/config_metrics.cpp
@@ -1,11 +1,14 @@
 #include "telemetry/config_metrics.hpp"
 
+#include "config/revision.hpp"
+
 #include <prometheus/gauge.h>
 
 namespace cornelcross::telemetry {
 
 ConfigMetrics::ConfigMetrics(Metrics& aMetrics)
-  : mRevision(
+  : mEpoch(aMetrics.gauge("cornelcross_config_epoch", "Epoch of the revision in force"))
+  , mRevision(
       aMetrics.gauge("cornelcross_config_revision", "Revision in force, 0 before the first"))
   , mServices(aMetrics.gauge("cornelcross_config_services", "Services in force"))
   , mUpstreams(aMetrics.gauge("cornelcross_config_upstreams", "Upstreams of all services in force"))
@@ -23,6 +26,7 @@
   for (const auto& [name, zone] : aConfiguration.mZones) {
     zonesOut += zone.mIsInService ? 0 : 1;
   }
+  mEpoch.Set(static_cast<double>(config::epochOf(aConfiguration.mRevision)));
   mRevision.Set(static_cast<double>(aConfiguration.mRevision));
   mServices.Set(static_cast<double>(aConfiguration.mServices.size()));
   mUpstreams.Set(static_cast<double>(upstreams));
--- a/src/telemetry/config_metrics.hpp
+++ b/src/telemetry/config_metrics.hpp
@@ -16,6 +16,7 @@
   void update(const config::Configuration& aConfiguration);
 
 private:
+  prometheus::Gauge& mEpoch;
   prometheus::Gauge& mRevision;
   prometheus::Gauge& mServices;
   prometheus::Gauge& mUpstreams;
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -138,6 +138,21 @@
   BOOST_TEST(mProcess.upstreams().size() == 1U);
 }
 
+// Guards against a revision number that reaches into the epoch.
+BOOST_AUTO_TEST_CASE(a_revision_number_without_room_in_a_revision_fails_the_read)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  for (const std::string number : { "17592186044416", "-1", "1.5" }) {
+    BOOST_TEST(!mProcess.read([&](const std::string&) {
+      return net::HttpClientResponse{ 200,
+                                      R"({"items": [], "storeRevision": )" + number + "}",
+                                      { { "store-era", "1" } } };
+    }));
+    BOOST_TEST(mProcess.mFailure.starts_with("malformed response: "));
+  }
+  BOOST_TEST(mProcess.read(mStore));
+}
+
 // Guards against a single corrupt header that makes all later responses seem late.
 BOOST_AUTO_TEST_CASE(a_count_that_jumps_in_one_response_only_has_no_effect)
 {
