--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -425,6 +425,19 @@
   }
 }
 
+// Guards against backends that stay unlisted while the operators have not written again.
+BOOST_AUTO_TEST_CASE(a_new_reader_lists_backends_although_it_holds_the_configuration)
+{
+  changeAfterCopy();
+  mProcess.read(mStore);
+  mPeer.pullFrom(mProcess);
+  mStore.restore(mCopy);
+  mPeer.read(mStore);
+  mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
+  mPeer.read(mStore, 3);
+  BOOST_TEST(mPeer.upstreams() == (Names{ "x serving", "y serving" }));
+}
+
 BOOST_AUTO_TEST_CASE(a_reader_that_was_cut_off_keeps_the_version_of_its_peers)
 {
   readAll();
