--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -293,6 +293,30 @@
   BOOST_TEST(!mProcess.isZoneInService("a"));
 }
 
+// Guards against two such processes that take each other's documents for those of running ones.
+BOOST_AUTO_TEST_CASE(processes_that_start_together_do_not_supersede_a_running_one)
+{
+  changeAfterCopy();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  BOOST_TEST(mProcess.read(mStore));
+  mStore.restore(mCopy);
+  test::StoreProcess other(mNow);
+  other.read(mStore);
+  mPeer.read(mStore);
+  mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
+  other.read(mStore, 3);
+  mPeer.pullFrom(other);
+  mStore.put("servers/z", test::makeBackend("log", "10.0.0.3:80"));
+  mPeer.read(mStore, 3);
+  mProcess.pullFrom(mPeer);
+  BOOST_TEST(mProcess.routedService() == "cert");
+  mPeer.pullFrom(mProcess);
+  BOOST_TEST(mPeer.routedService() == "cert");
+  mStore.put("op/config", test::makeConfig(14, "log"));
+  mPeer.read(mStore, 3);
+  BOOST_TEST(mPeer.routedService() == "log");
+}
+
 BOOST_AUTO_TEST_CASE(processes_that_all_start_during_a_recovery_follow_what_is_written_again)
 {
   changeAfterCopy();
