--- a/tests/platform/store/store_process.hpp
+++ b/tests/platform/store/store_process.hpp
@@ -28,6 +28,9 @@
   /// @brief Accepts the changes that aPeer has and this process lacks.
   void pullFrom(const StoreProcess& aPeer);
 
+  /// @brief Accepts documents of a peer.
+  void accept(const config::DocumentBatch& aBatch) { mDocuments.merge(aBatch); }
+
   /// @brief Service to which the address 198.18.0.1:443 leads; empty if there is no such address.
   std::string routedService() const;
 
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -187,4 +187,25 @@
   BOOST_TEST(mProcess.mFailure == "the count of restores changed with each response");
 }
 
+// Guards against different orders in programs with and without epochs while both run.
+BOOST_AUTO_TEST_CASE(revisions_before_the_first_restore_are_those_of_the_store)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  BOOST_TEST(mProcess.revision() == mStore.revision());
+}
+
+// Guards against a program without epochs that reads the copy and makes its peers go back.
+BOOST_AUTO_TEST_CASE(documents_of_a_program_without_epochs_do_not_supersede_those_after_a_restore)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  restore();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  BOOST_TEST(mProcess.read(mStore));
+  const config::Document route{ "address/198.18.0.1:443",
+                                900,
+                                R"({"services": [{"service": "log", "weight": 1}]})" };
+  mProcess.accept({ 900, { route }, false });
+  BOOST_TEST(mProcess.routedService() == "cert");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
