--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -165,6 +165,21 @@
   BOOST_TEST(mProcess.upstreams() == Names{ "x leaving" });
 }
 
+BOOST_AUTO_TEST_CASE(a_drain_that_the_copy_still_has_ends_once_the_backend_writes_again)
+{
+  mStore.put("servers/x", test::makeBackend("log", "10.0.0.1:80", "draining"));
+  mCopy = mStore;
+  mStore.put("servers/x", test::makeBackend("log", "10.0.0.1:80"));
+  readAll();
+  mStore.restore(mCopy);
+  readAll();
+  BOOST_TEST(mProcess.upstreams() == Names{ "x leaving" });
+  mStore.put("servers/x", test::makeBackend("log", "10.0.0.1:80"));
+  readAll();
+  BOOST_TEST(mProcess.upstreams() == Names{ "x serving" });
+  BOOST_TEST(mPeer.upstreams() == Names{ "x serving" });
+}
+
 // Guards against flows to the address of a backend that no longer exists.
 BOOST_AUTO_TEST_CASE(a_removed_backend_of_the_copy_does_not_return)
 {
--- a/tests/unit/test_configuration_sync.cpp
+++ b/tests/unit/test_configuration_sync.cpp
@@ -1,3 +1,4 @@
+#include "config/revision.hpp"
 #include "membership/configuration_sync.hpp"
 #include "unit/support/configuration.hpp"
 
@@ -365,6 +366,28 @@
   BOOST_TEST(process.mayForward());
 }
 
+// Guards against a change that peers do not pull, because a restored service issued its revision
+// number before.
+BOOST_AUTO_TEST_CASE(a_process_pulls_from_a_peer_of_a_later_epoch_although_its_number_is_lower)
+{
+  auto process = makeConfirmed(900);
+  process.onRetainedStateComplete();
+  process.onFrame(kStart, kPeer, config::makeRevision(2, 3));
+  BOOST_TEST(pullWithinASecond(process, kStart).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_process_replies_to_a_peer_of_an_earlier_epoch_and_does_not_pull)
+{
+  auto process = makeConfirmed(config::makeRevision(2, 3));
+  process.onRetainedStateComplete();
+  wire::Heartbeat heartbeat;
+  heartbeat.mSender = kPeer;
+  const auto replies =
+    actionsOfType<membership::SendHeartbeat>(process.onHeartbeat(kStart, 900, heartbeat));
+  BOOST_TEST(replies.size() == 1U);
+  BOOST_TEST(pullWithinASecond(process, kStart).empty());
+}
+
 BOOST_AUTO_TEST_CASE(processes_that_receive_the_same_newer_revision_spread_their_pulls)
 {
   constexpr int kProcesses = 400;
--- a/tests/unit/test_retained_routes.cpp
+++ b/tests/unit/test_retained_routes.cpp
@@ -1,4 +1,6 @@
 #include "config/retained_routes.hpp"
+
+#include "config/revision.hpp"
 #include "unit/support/configuration.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -68,6 +70,19 @@
   BOOST_TEST(removedCount() == 1U);
 }
 
+// Guards against flows of a removed upstream that end with a restore of the configuration service.
+BOOST_AUTO_TEST_CASE(a_removed_upstream_is_retained_over_a_new_epoch)
+{
+  apply(makeConfiguration(3, 9));
+  apply(makeConfiguration(2, 10));
+  apply(makeConfiguration(2, config::makeRevision(1, 4)));
+  BOOST_TEST(removedCount() == 1U);
+  config::RetainedRoutes other{ 60s, 2s, kStartMs };
+  other.apply(mNow, share(makeConfiguration(2, config::makeRevision(1, 4))));
+  mActiveConfiguration = other.merge(mNow, mRoutes.retainedState(mNow));
+  BOOST_TEST(removedCount() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_removed_upstream_expires_after_the_flow_lifetime)
 {
   apply(makeConfiguration(3, 1));
