--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -332,6 +332,24 @@
   BOOST_TEST(mPeer.routedService() == "log");
 }
 
+BOOST_AUTO_TEST_CASE(a_process_that_starts_beside_an_old_program_does_not_supersede_it)
+{
+  changeAfterCopy();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mProcess.mIsOldProgram = true;
+  BOOST_TEST(mProcess.read(mStore));
+  mStore.restore(mCopy);
+  mPeer.read(mStore);
+  BOOST_TEST(mPeer.routedService() == "log");
+  mPeer.pullFrom(mProcess);
+  BOOST_TEST(mPeer.routedService() == "cert");
+  mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
+  mPeer.read(mStore, 3);
+  mProcess.pullFrom(mPeer);
+  BOOST_TEST(mPeer.routedService() == "cert");
+  BOOST_TEST(mProcess.routedService() == "cert");
+}
+
 BOOST_AUTO_TEST_CASE(processes_that_all_start_during_a_recovery_follow_what_is_written_again)
 {
   changeAfterCopy();
