--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -166,6 +166,18 @@
   BOOST_TEST(mProcess.read(mStore, 3));
 }
 
+BOOST_AUTO_TEST_CASE(a_count_that_jumps_in_the_first_response_of_a_process_has_no_effect)
+{
+  int requests = 0;
+  BOOST_TEST(mProcess.read([&](const std::string& aPath) {
+    test::StoreContent content = mStore;
+    content.mEraHeader = ++requests == 1 ? "4711" : "1";
+    return content.respond(aPath);
+  }));
+  BOOST_TEST(mProcess.read(mStore));
+  BOOST_TEST(mProcess.revision() == mStore.revision());
+}
+
 BOOST_AUTO_TEST_CASE(a_count_that_jumps_and_stays_is_adopted)
 {
   BOOST_TEST(mProcess.read(mStore));
