Accept services that exchange endpoints together

Callers got no answers from new upstreams of two services that had taken over each other's addresses: no process listed them, for good.

Cause: a service document that uses an endpoint of another accepted service is rejected and retried when another document changes. After an exchange each of the two documents conflicts with the accepted version of the other one, so that none is ever accepted. Ruled out: that the reader does not publish them (it does, in both epochs).

Documents that conflict only with versions which they replace together are now accepted together. The new case of document_store failed before (without acceptTogether: two errors, both services unchanged).

--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -87,8 +87,9 @@
   for (const Document& document : documents) {
     hasAccepted = accept(document, next, errorsByKey) || hasAccepted;
   }
-  while (hasAccepted) {
-    hasAccepted = retryConflicting(next, errorsByKey);
+  while ((hasAccepted && retryConflicting(next, errorsByKey)) ||
+         (!documents.empty() && acceptTogether(next, errorsByKey))) {
+    hasAccepted = true;
   }
   mFirstMergeRevision = mFirstMergeRevision == 0 ? aRevision : mFirstMergeRevision;
   const bool isRevert = aRevision < mRevision && !base::safetyMechanisms().mRejectStaleRevisions;
@@ -134,11 +135,8 @@
 bool DocumentStore::retryConflicting(std::shared_ptr<Configuration>& aNext,
                                      ErrorsByKey& aErrorsByKey)
 {
-  std::vector<Document> documents;
-  for (const auto& [key, document] : std::exchange(mConflicting, {})) {
-    documents.push_back(document);
-  }
-  std::sort(documents.begin(), documents.end(), isOlder);
+  const std::vector<Document> documents = conflictingDocuments();
+  mConflicting.clear();
   bool hasAccepted = false;
   for (const Document& document : documents) {
     // An earlier call of accept() has reported the errors of this document already.
@@ -151,6 +149,55 @@
   return hasAccepted;
 }
 
+// Services may exchange endpoints: each document then conflicts with the accepted version of the
+// other one.
+bool DocumentStore::acceptTogether(std::shared_ptr<Configuration>& aNext, ErrorsByKey& aErrorsByKey)
+{
+  std::vector<Document> documents = conflictingDocuments();
+  while (documents.size() > 1) {
+    const auto conflicting = findConflict(documents);
+    if (conflicting != documents.end()) {
+      documents.erase(conflicting);
+      continue;
+    }
+    for (const Document& document : documents) {
+      mEndpoints.erase(serviceNameFromKey(document.mKey));
+    }
+    for (const Document& document : documents) {
+      aErrorsByKey.erase(document.mKey);
+      accept(document, aNext, aErrorsByKey);
+    }
+    return true;
+  }
+  return false;
+}
+
+std::vector<Document>::const_iterator DocumentStore::findConflict(
+  const std::vector<Document>& aDocuments) const
+{
+  EndpointIndex endpoints = mEndpoints;
+  for (const Document& document : aDocuments) {
+    endpoints.erase(serviceNameFromKey(document.mKey));
+  }
+  return std::find_if(aDocuments.begin(), aDocuments.end(), [&](const Document& aDocument) {
+    const auto parsed = parseService(serviceNameFromKey(aDocument.mKey), *aDocument.mText);
+    const auto& service = std::get<Service>(parsed);
+    const bool hasConflict = !crossCheck(service, endpoints).empty();
+    endpoints.store(service);
+    return hasConflict;
+  });
+}
+
+std::vector<Document> DocumentStore::conflictingDocuments() const
+{
+  std::vector<Document> documents;
+  for (const auto& [key, document] : mConflicting) {
+    documents.push_back(document);
+  }
+  std::sort(documents.begin(), documents.end(), isOlder);
+  return documents;
+}
+
 bool DocumentStore::accept(const Document& aDocument,
                            std::shared_ptr<Configuration>& aNext,
                            ErrorsByKey& aErrorsByKey)
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -101,6 +101,17 @@
   /// Retries the documents that crossCheck() rejected. Returns true if one of them was accepted.
   bool retryConflicting(std::shared_ptr<Configuration>& aNext, ErrorsByKey& aErrorsByKey);
 
+  /// Accepts the documents that crossCheck() rejected only because of the accepted versions of
+  /// each other. Returns true if there are any.
+  bool acceptTogether(std::shared_ptr<Configuration>& aNext, ErrorsByKey& aErrorsByKey);
+
+  /// First of some service documents that conflicts with an earlier one or with an accepted service
+  /// that none of them replaces.
+  std::vector<Document>::const_iterator findConflict(const std::vector<Document>& aDocuments) const;
+
+  /// Documents that crossCheck() rejected, oldest first.
+  std::vector<Document> conflictingDocuments() const;
+
   void storeAccepted(const Document& aDocument);
   static void applyValue(const std::string& aKey, DocumentValue aValue, Configuration& aNext);
   static void removeValue(const std::string& aKey, Configuration& aNext);
--- a/tests/unit/test_document_store.cpp
+++ b/tests/unit/test_document_store.cpp
@@ -146,4 +146,31 @@
   BOOST_TEST(store.documentsForKeys({ "reader_state" }).front().mText.has_value());
 }
 
+// Guards against upstreams that stay unlisted after two services have exchanged addresses: each
+// document conflicts with the accepted version of the other one.
+BOOST_AUTO_TEST_CASE(services_that_exchange_endpoints_are_accepted_together)
+{
+  const auto withUpstream = [](const std::string& aHost) {
+    return R"({"upstreams": [{"name": "u", "agent": ")" + aHost + R"(:1", "address": ")" + aHost +
+           R"(:2", "zone": "a", "slots": 1, "state": "serving"}]})";
+  };
+  config::DocumentStore store;
+  store.merge(2,
+              { { "service/x", 1, withUpstream("127.0.0.1") },
+                { "service/y", 2, withUpstream("127.0.0.2") } });
+  const auto errors = store.merge(4,
+                                  { { "service/x", 3, withUpstream("127.0.0.2") },
+                                    { "service/y", 4, withUpstream("127.0.0.1") } });
+  BOOST_TEST(errors.empty());
+  BOOST_TEST(store.rejectedKeys().empty());
+  const auto hostOf = [&](const std::string& aService) {
+    return store.configuration()->mServices.at(aService).mUpstreams[0].mAgent.toString();
+  };
+  BOOST_TEST(hostOf("x") == "127.0.0.2:1");
+  BOOST_TEST(hostOf("y") == "127.0.0.1:1");
+  // A third service that uses one of the endpoints as well stays rejected.
+  BOOST_TEST(!store.merge(5, { { "service/z", 5, withUpstream("127.0.0.1") } }).empty());
+  BOOST_TEST(!store.configuration()->mServices.contains("z"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
