Keep the later of two versions of a route whichever epoch they were read in

A route could go back: a reader that was cut off from its peers adopted a change in the epoch of the recovery, under number 4, while the others had reached the epoch of its end at number 3. After they met, the older version had the higher revision.

Cause: the two epochs of a restore order a newer fact below an older one. That is meant for services and zones, which depend on what their reader held back. Routes are as the operators wrote them, so that within one return the number decides, then the epoch.

The new case of document_store failed before.

--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -4,6 +4,7 @@
 #include "config/cross_check.hpp"
 #include "config/document_key.hpp"
 #include "config/parse.hpp"
+#include "config/revision.hpp"
 
 #include <algorithm>
 #include <set>
@@ -39,6 +40,14 @@
                                              : aLeft.mKey < aRight.mKey;
 }
 
+// An address is as the operators wrote it, in whichever epoch a reader received it. All else
+// depends on what its reader held, and the later epoch decides.
+bool supersedes(const Document& aDocument, const Document& aAccepted)
+{
+  return isAddressKey(aDocument.mKey) ? isWrittenBefore(aAccepted.mRevision, aDocument.mRevision)
+                                      : aAccepted.mRevision < aDocument.mRevision;
+}
+
 template<class T>
 ParseResult<DocumentValue> toDocumentValue(ParseResult<T> aParsed)
 {
@@ -203,7 +212,7 @@
                            ErrorsByKey& aErrorsByKey)
 {
   const auto found = mAccepted.find(aDocument.mKey);
-  const bool isStale = found != mAccepted.end() && found->second.mRevision >= aDocument.mRevision;
+  const bool isStale = found != mAccepted.end() && !supersedes(aDocument, found->second);
   if (isStale && base::safetyMechanisms().mRejectStaleRevisions) {
     return false;
   }
@@ -271,9 +280,11 @@
     listed.insert(document.mKey);
   }
   for (const auto& [key, document] : mAccepted) {
-    const bool mayBeDeleted = document.mText && document.mRevision <= aBatch.mRevision;
+    const Document removal{ key, aBatch.mRevision, std::nullopt };
+    const bool mayBeDeleted =
+      document.mText && (document.mRevision == removal.mRevision || supersedes(removal, document));
     if (mayBeDeleted && !listed.contains(key) && key != kReaderStateKey) {
-      removals.push_back({ key, aBatch.mRevision, std::nullopt });
+      removals.push_back(removal);
     }
   }
   return removals;
@@ -318,7 +329,7 @@
   std::vector<Document> outdated;
   for (const Document& document : aDocuments) {
     const auto found = mAccepted.find(document.mKey);
-    if (found != mAccepted.end() && found->second.mRevision >= document.mRevision &&
+    if (found != mAccepted.end() && !supersedes(document, found->second) &&
         found->second.mText != document.mText) {
       outdated.push_back(document);
     }
--- a/tests/unit/test_document_store.cpp
+++ b/tests/unit/test_document_store.cpp
@@ -1,5 +1,7 @@
 #include "config/document_store.hpp"
 
+#include "config/revision.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace cornelcross;
@@ -173,4 +175,24 @@
   BOOST_TEST(!store.configuration()->mServices.contains("z"));
 }
 
+// Guards against a route that goes back: a reader that was alone adopted a change while the service
+// recovered, and the others, which lack it, have reached the later epoch.
+BOOST_AUTO_TEST_CASE(an_address_keeps_the_later_number_although_its_epoch_is_lower)
+{
+  constexpr const char* kOld = R"({"services": [{"service": "x", "weight": 1}]})";
+  constexpr const char* kNew = R"({"services": [{"service": "y", "weight": 1}]})";
+  const std::string key = "address/198.18.0.1:443";
+  config::DocumentStore store;
+  store.merge({ config::makeRevision(1, 4), { { key, config::makeRevision(1, 4), kNew } } });
+  const std::uint64_t settled = config::makeRevision(2, 3);
+  store.merge({ settled, { { key, settled, kOld }, { "zones", settled, kZonesOut } }, true });
+  BOOST_TEST(*store.documentsForKeys({ key }).front().mText == kNew);
+  BOOST_TEST(!store.configuration()->isZoneInService("a"));
+  store.merge({ settled, { { "zones", settled, kZonesOut } }, true });
+  BOOST_TEST(store.documentsForKeys({ key }).front().mText.has_value());
+  const std::uint64_t next = config::makeRevision(3, 1);
+  store.merge({ next, { { key, next, kOld } } });
+  BOOST_TEST(*store.documentsForKeys({ key }).front().mText == kOld);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
