Order what processes learn around a restore where revisions do not

Three faults of one kind: a revision states that its owner has all changes up to it, and that was not true.

Routes that no configuration has any more stayed in force at a peer, for good (CONFIG). A reader that lists the store publishes no tombstone of a route it never had, and a peer that had it from another reader took the list for all changes. So does a process that merged one. A response that others have overtaken since its request is not merged, as it may contain routes that were removed meanwhile. 2. Processes that all start during a recovery kept different configurations until its end (CONFIG). Their provisional documents have revisions that count reads, not changes. Such a process now reads on by itself, a change comes with all documents, and a late response neither ends the recovery nor counts as read after provisional documents that came meanwhile. 3. A removed backend stayed listed in some processes after another reader had taken over: the reader published its unchanged zones under the revision that the removal had, while it still waited for the backend to register again.

--- a/src/config/document_store.cpp
+++ b/src/config/document_store.cpp
@@ -100,7 +100,7 @@
          (!documents.empty() && acceptTogether(next, errorsByKey))) {
     hasAccepted = true;
   }
-  mFirstMergeRevision = mFirstMergeRevision == 0 ? aRevision : mFirstMergeRevision;
+  mDeletionsKnownAfter = mDeletionsKnownAfter == 0 ? aRevision : mDeletionsKnownAfter;
   const bool isRevert = aRevision < mRevision && !base::safetyMechanisms().mRejectStaleRevisions;
   if (aRevision > mRevision || isRevert) {
     mRevision = aRevision;
@@ -130,6 +130,7 @@
   }
   std::vector<Document> documents = removalsImpliedBy(aBatch);
   documents.insert(documents.end(), aBatch.mDocuments.begin(), aBatch.mDocuments.end());
+  mDeletionsKnownAfter = std::max(mDeletionsKnownAfter, aBatch.mRevision);
   return merge(aBatch.mRevision, documents);
 }
 
@@ -253,13 +254,13 @@
   return changesAfter(aRevision, SIZE_MAX).mDocuments;
 }
 
-// A store whose first merge was a snapshot does not know the earlier deletions, so that changes
-// alone do not suffice for a receiver with an older revision, which needs a snapshot. A store with
+// Changes alone do not suffice for a receiver that may have documents whose deletion this store
+// does not know; it needs a snapshot. A store with
 // rejected documents sends no snapshot: the snapshot would lack the rejected documents, and the
 // receiver would delete them.
 DocumentBatch DocumentStore::batchAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const
 {
-  if (aRevision > 0 && aRevision < mFirstMergeRevision && mRejected.empty()) {
+  if (aRevision > 0 && aRevision < mDeletionsKnownAfter && mRejected.empty()) {
     DocumentBatch snapshot = changesAfter(0, aMaxBytes);
     if (snapshot.mRevision == mRevision) {
       snapshot.mIsSnapshot = true;
@@ -277,7 +278,9 @@
   }
   std::set<std::string> listed;
   for (const Document& document : aBatch.mDocuments) {
-    listed.insert(document.mKey);
+    if (document.mText) {
+      listed.insert(document.mKey);
+    }
   }
   for (const auto& [key, document] : mAccepted) {
     const Document removal{ key, aBatch.mRevision, std::nullopt };
--- a/src/config/document_store.hpp
+++ b/src/config/document_store.hpp
@@ -43,16 +43,28 @@
   /// @return all errors of the batch
   std::vector<ConfigError> merge(const DocumentBatch& aBatch);
 
+  /// @brief True if a batch that was requested at revision aStart arrives after its revision was
+  /// reached otherwise. It may then contain documents that were deleted and have no tombstone here.
+  bool isOvertaken(const DocumentBatch& aBatch, std::uint64_t aStart) const
+  {
+    return mRevision > aStart && aBatch.mRevision <= mRevision;
+  }
+
   /// @brief Accepted documents with a revision above aRevision, including tombstones, oldest first;
   /// without the reader state.
   std::vector<Document> documentsAfter(std::uint64_t aRevision) const;
 
   /// @brief First part of documentsAfter(aRevision), limited to about aMaxBytes of keys and text.
   /// Documents of one revision are never split over two batches. The batch contains all changes up
-  /// to its own revision. The batch is a snapshot if aRevision is not 0 and precedes the first
-  /// merge of this store, provided that a snapshot fits into aMaxBytes and no document is rejected.
+  /// to its own revision. The batch is a snapshot if aRevision is not 0 and this store may lack
+  /// deletions after aRevision, provided that a snapshot fits into aMaxBytes and no document is
+  /// rejected.
   DocumentBatch batchAfter(std::uint64_t aRevision, std::size_t aMaxBytes) const;
 
+  /// @brief Declares that documents may have been deleted, up to the current revision, that this
+  /// store never had: their keys have no tombstones here.
+  void setDeletionsUnknown() { mDeletionsKnownAfter = mRevision; }
+
   /// @brief Tombstones for the accepted documents that a snapshot lacks; empty if aBatch is not a
   /// snapshot. @note O(n log n)
   std::vector<Document> removalsImpliedBy(const DocumentBatch& aBatch) const;
@@ -117,7 +129,7 @@
   static void removeValue(const std::string& aKey, Configuration& aNext);
 
   std::uint64_t mRevision = 0;
-  std::uint64_t mFirstMergeRevision = 0; ///< deletions before this revision are unknown
+  std::uint64_t mDeletionsKnownAfter = 0; ///< earlier deletions may lack a tombstone
   std::map<std::string, Document> mAccepted;
   std::map<std::string, std::uint64_t> mRejected; ///< highest rejected revision by key
   std::map<std::string, Document> mConflicting;   ///< newest documents that crossCheck() rejected
--- a/src/membership/configuration_sync.cpp
+++ b/src/membership/configuration_sync.cpp
@@ -175,7 +175,8 @@
   if (mFirstReadDecision) {
     return;
   }
-  if (const auto maxWaitSeconds = mServiceSchedule.start(aNow, isReader(), mRandom)) {
+  if (const auto maxWaitSeconds =
+        mServiceSchedule.start(aNow, isReader() || mIsProvisional, mRandom)) {
     aActions.emplace_back(ReadService{ mRevision, *maxWaitSeconds });
   }
 }
--- a/src/membership/configuration_sync.hpp
+++ b/src/membership/configuration_sync.hpp
@@ -50,6 +50,10 @@
                                 std::optional<std::uint64_t> aRevision,
                                 bool aIsCurrent = true);
 
+  /// @brief Declares whether the active documents are provisional. Revisions do not order those of
+  /// several processes, so that each of them reads the configuration service itself.
+  void setProvisional(bool aIsProvisional) { mIsProvisional = aIsProvisional; }
+
   /// @brief Handles the activation of a configuration: updates the peers and announces the
   /// revision.
   /// @param aRejectedKeys keys whose newest document is invalid
@@ -111,6 +115,7 @@
   base::Time mNextConfirmationQuery;
   base::Time mNextRejectedKeyPull;
   std::optional<base::Time> mFirstReadDecision; ///< when to decide; empty once decided
+  bool mIsProvisional = false;                  ///< see setProvisional()
   bool mNeedsRetainedState = true;
   std::optional<flow::Endpoint> mRetainedStatePeer;
   base::Time mNextRetainedStatePull;
--- a/src/membership/runtime.cpp
+++ b/src/membership/runtime.cpp
@@ -196,6 +196,7 @@
 
 void Runtime::perform(const ReadService& aAction)
 {
+  mReadRevision = aAction.mAfterRevision;
   mBudget.charge(net::MainLoop::now(), kServiceRequestBytes);
   countControlMessage(ControlKind::kServiceRead, "out", kServiceRequestBytes);
   mDocumentSource.mRead(aAction.mAfterRevision, aAction.mWaitSeconds);
@@ -222,7 +223,13 @@
   }
   mBudget.charge(net::MainLoop::now(), response->mBodyBytes);
   countControlMessage(ControlKind::kServiceRead, "in", response->mBodyBytes);
-  merge(response->mBatch, "service");
+  if (!mStore.isOvertaken(response->mBatch, mReadRevision)) {
+    merge(response->mBatch, "service");
+    if (response->mMayLackDeletions) {
+      mStore.setDeletionsUnknown();
+    }
+  }
+  mSync.setProvisional(response->mIsProvisional);
   perform(mSync.onServiceReadFinished(
     net::MainLoop::now(), response->mBatch.mRevision, response->mIsCurrent));
 }
--- a/src/membership/runtime.hpp
+++ b/src/membership/runtime.hpp
@@ -98,6 +98,7 @@
   config::DocumentStore mStore;
   ConfigurationSync mSync;
   ControlBudget mBudget;
+  std::uint64_t mReadRevision = 0; ///< active at the start of the last read of the service
   ControlQueue mQueue;
   config::RetainedRoutes mRetained;
   config::ConfigurationPtr mActive = std::make_shared<const config::Configuration>();
--- a/src/net/config_client.hpp
+++ b/src/net/config_client.hpp
@@ -17,6 +17,13 @@
 
   /// False while the service recovers from an older copy: it may lack changes that are active.
   bool mIsCurrent = true;
+
+  /// True if the documents come from a service that recovers and this process had no others:
+  /// revisions do not order them among processes that read them so.
+  bool mIsProvisional = false;
+
+  /// True if the service may have deleted documents of which the batch has no tombstone.
+  bool mMayLackDeletions = false;
 };
 
 /// @brief Reason why a read of the configuration service failed.
--- a/tests/platform/store/store_process.cpp
+++ b/tests/platform/store/store_process.cpp
@@ -20,18 +20,35 @@
 
 bool StoreProcess::read(const Respond& aRespond, unsigned aWaitSeconds)
 {
-  platform::StoreReader::Step step = mReader.start(mNow, mDocuments.revision(), aWaitSeconds);
-  while (const auto* request = std::get_if<platform::StoreRequest>(&step)) {
-    step = mReader.onResult(mNow, aRespond(request->mPath));
+  startRead(aWaitSeconds);
+  return finishRead(aRespond);
+}
+
+void StoreProcess::startRead(unsigned aWaitSeconds)
+{
+  mReadRevision = mDocuments.revision();
+  mStep = mReader.start(mNow, mDocuments.revision(), aWaitSeconds);
+}
+
+bool StoreProcess::finishRead(const Respond& aRespond)
+{
+  while (const auto* request = std::get_if<platform::StoreRequest>(&mStep)) {
+    mStep = mReader.onResult(mNow, aRespond(request->mPath));
   }
-  const auto& result = std::get<net::ConfigResult>(step);
+  const auto& result = std::get<net::ConfigResult>(mStep);
   mResponse.reset();
   if (const auto* failure = std::get_if<net::ConfigFailure>(&result)) {
     mFailure = failure->mReason;
     return false;
   }
   mResponse = std::get<net::ConfigResponse>(result);
-  mDocuments.merge(mResponse->mBatch);
+  mIsProvisional = mResponse->mIsProvisional;
+  if (!mDocuments.isOvertaken(mResponse->mBatch, mReadRevision)) {
+    mDocuments.merge(mResponse->mBatch);
+    if (mResponse->mMayLackDeletions) {
+      mDocuments.setDeletionsUnknown();
+    }
+  }
   return true;
 }
 
@@ -49,10 +66,10 @@
   mDocuments.merge(batch);
 }
 
-std::string StoreProcess::routedService() const
+std::string StoreProcess::routedService(const std::string& aAddress) const
 {
   const auto& addresses = mDocuments.configuration()->mAddresses;
-  const auto route = addresses.find(*flow::Endpoint::parse("198.18.0.1:443"));
+  const auto route = addresses.find(*flow::Endpoint::parse(aAddress));
   return route == addresses.end() ? "" : route->second.mShares.front().mService;
 }
 
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -138,6 +138,25 @@
   BOOST_TEST(mProcess.upstreams().size() == 1U);
 }
 
+// Guards against the same at the peers of a reader that replaces another one: its unchanged
+// document had the revision of the one without the backend.
+BOOST_AUTO_TEST_CASE(a_reader_that_takes_over_does_not_publish_a_document_with_a_removed_backend)
+{
+  mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
+  BOOST_TEST(mProcess.read(mStore));
+  BOOST_TEST(mPeer.read(mStore));
+  for (int i = 0; i < 10; ++i) {
+    mNow += 500ms;
+    BOOST_TEST(mProcess.read(mStore, 3));
+  }
+  mStore.remove("servers/y");
+  BOOST_TEST(mPeer.read(mStore, 3));
+  BOOST_TEST(mProcess.read(mStore, 3));
+  mPeer.pullFrom(mProcess);
+  BOOST_TEST(mProcess.upstreams().size() == 1U);
+  BOOST_TEST(mPeer.upstreams().size() == 1U);
+}
+
 // Guards against a revision number that reaches into the epoch.
 BOOST_AUTO_TEST_CASE(a_revision_number_without_room_in_a_revision_fails_the_read)
 {
--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -1,6 +1,7 @@
 #include "platform/store/restored_store.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace cornelcross;
 using namespace std::chrono_literals;
@@ -564,4 +565,47 @@
   BOOST_TEST(mProcess.routedService() == "log");
 }
 
+// Guards against a route that a peer keeps although the configuration lacks it: the peer has it
+// from a reader that read a configuration in between.
+BOOST_AUTO_TEST_CASE(a_route_that_only_a_peer_has_is_removed_by_a_reader_that_lists_the_store)
+{
+  const auto configWith = [](std::uint64_t aVersion, const std::string& aPrefix) {
+    auto config = nlohmann::json::parse(test::makeConfig(aVersion, "log"));
+    config["routes"][0]["prefix"] = aPrefix;
+    return config.dump();
+  };
+  mCopy = mStore;
+  readAll();
+  mStore.restore(mCopy);
+  mStore.put("op/config", configWith(7, "/444/"));
+  mPeer.read(mStore);
+  BOOST_TEST(mPeer.routedService("198.18.0.1:444") == "log");
+  mStore.put("op/config", configWith(8, "/445/"));
+  mProcess.read(mStore);
+  mPeer.pullFrom(mProcess);
+  BOOST_TEST(mPeer.routedService("198.18.0.1:444").empty());
+  BOOST_TEST(mPeer.routedService("198.18.0.1:445") == "log");
+}
+
+// Guards against a response that arrives late and, once a process has pulled newer documents, is
+// published above them.
+BOOST_AUTO_TEST_CASE(a_late_response_does_not_supersede_provisional_documents_that_came_meanwhile)
+{
+  changeAfterCopy();
+  mStore.restore(mCopy);
+  mProcess.read(mStore);
+  mPeer.read(mStore);
+  const test::StoreContent late = mStore;
+  mProcess.startRead();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mPeer.read(mStore, 3);
+  mProcess.pullFrom(mPeer);
+  BOOST_TEST(mProcess.routedService() == "cert");
+  mNow += 5s;
+  mProcess.finishRead([&](const std::string& aPath) { return late.respond(aPath); });
+  BOOST_TEST(mProcess.routedService() == "cert");
+  mPeer.pullFrom(mProcess);
+  BOOST_TEST(mPeer.routedService() == "cert");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/test_configuration_sync.cpp
+++ b/tests/unit/test_configuration_sync.cpp
@@ -366,6 +366,22 @@
   BOOST_TEST(process.mayForward());
 }
 
+// Guards against processes that start together during a recovery and stay at what they read first.
+BOOST_AUTO_TEST_CASE(a_process_with_provisional_documents_reads_on_although_it_is_no_reader)
+{
+  membership::ConfigurationSync process(settingsOf(StartBesidePeer::nonReader()));
+  process.start(kStart);
+  process.apply(kStart, test::makeConfiguration(30), {});
+  BOOST_TEST(!process.isReader());
+  process.setProvisional(true);
+  BOOST_TEST(
+    !actionsOfType<membership::ReadService>(process.onServiceReadFinished(kStart, 1, false))
+       .empty());
+  process.setProvisional(false);
+  BOOST_TEST(actionsOfType<membership::ReadService>(process.onServiceReadFinished(kStart, 2, false))
+               .empty());
+}
+
 // Guards against a change that peers do not pull, because a restored service issued its revision
 // number before.
 BOOST_AUTO_TEST_CASE(a_process_pulls_from_a_peer_of_a_later_epoch_although_its_number_is_lower)
--- a/tests/unit/test_document_merge.cpp
+++ b/tests/unit/test_document_merge.cpp
@@ -53,6 +53,7 @@
   BOOST_TEST(holds);
 }
 
+constexpr const char* kZones = R"({"zones": [{"name": "a", "state": "in"}]})";
 constexpr const char* kAddressText = R"({"services": [{"service": "log", "weight": 1}]})";
 
 // A process that starts before a peer has received a removal reads the whole configuration from the
@@ -81,4 +82,26 @@
   BOOST_TEST(!starting.batchAfter(12, SIZE_MAX).mIsSnapshot);
 }
 
+// Guards against a route that stays in force at a peer: the reader that lists the service never had
+// it, and so has no tombstone of it.
+BOOST_AUTO_TEST_CASE(a_store_that_may_lack_deletions_sends_a_snapshot_that_removes_what_it_lacks)
+{
+  config::DocumentStore peer;
+  config::DocumentStore third;
+  for (config::DocumentStore* store : { &peer, &third }) {
+    store->merge(14,
+                 { { "address/198.18.0.11:443", 12, kAddressText },
+                   { "address/198.18.0.12:443", 14, kAddressText } });
+  }
+  config::DocumentStore reader;
+  reader.merge(11, { { "address/198.18.0.11:443", 10, kAddressText } });
+  reader.merge(15, { { "address/198.18.0.11:443", 15, std::nullopt }, { "zones", 15, kZones } });
+  reader.setDeletionsUnknown();
+  peer.merge(reader.batchAfter(peer.revision(), SIZE_MAX));
+  BOOST_TEST(peer.configuration()->mAddresses.empty());
+  third.merge(peer.batchAfter(third.revision(), SIZE_MAX));
+  BOOST_TEST(third.configuration()->mAddresses.empty());
+  BOOST_TEST(!reader.batchAfter(15, SIZE_MAX).mIsSnapshot);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/test_document_store.cpp
+++ b/tests/unit/test_document_store.cpp
@@ -195,4 +195,14 @@
   BOOST_TEST(*store.documentsForKeys({ key }).front().mText == kOld);
 }
 
+// Guards against a removed route that a late response of the service brings back.
+BOOST_AUTO_TEST_CASE(a_batch_whose_revision_was_reached_since_its_request_is_overtaken)
+{
+  config::DocumentStore store;
+  store.merge(5, {});
+  BOOST_TEST(!store.isOvertaken({ 5, {} }, 5));
+  BOOST_TEST(!store.isOvertaken({ 6, {} }, 4));
+  BOOST_TEST(store.isOvertaken({ 5, {} }, 4));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
