--- a/tests/platform/store/store_content.cpp
+++ b/tests/platform/store/store_content.cpp
@@ -73,6 +73,21 @@
   }
 }
 
+std::optional<std::string> StoreContent::value(const std::string& aKey) const
+{
+  const auto item = mItems.find(aKey);
+  return item == mItems.end() ? std::nullopt : item->second.mValue;
+}
+
+std::vector<std::string> StoreContent::keys() const
+{
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : mItems) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 net::HttpClientResponse StoreContent::respond(const std::string& aPath) const
 {
   net::HttpClientResponse response{ SOUP_STATUS_OK, "", {} };
--- a/tests/platform/store/store_content.hpp
+++ b/tests/platform/store/store_content.hpp
@@ -28,6 +28,12 @@
 
   std::uint64_t revision() const { return mRevision; }
 
+  /// @brief Value of an item; empty if there is none.
+  std::optional<std::string> value(const std::string& aKey) const;
+
+  /// @brief Keys of all items.
+  std::vector<std::string> keys() const;
+
   std::optional<std::string> mEraHeader = "1"; ///< empty: responses lack the header
   std::size_t mPageSize = 500;                 ///< items per page of a list
 
