Test that documents which arrive during a read stay provisional

The case fails if documents with a later revision than the accepted one at the start of the read count as accepted (published above the others by the copy).

--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -587,6 +587,23 @@
   BOOST_TEST(mPeer.routedService("198.18.0.1:445") == "log");
 }
 
+// Guards against provisional documents that count as accepted since they arrived during a read.
+BOOST_AUTO_TEST_CASE(provisional_documents_that_arrive_during_a_read_stay_provisional)
+{
+  changeAfterCopy();
+  mStore.restore(mCopy);
+  mProcess.read(mStore);
+  mPeer.read(mStore);
+  const test::StoreContent late = mStore;
+  mProcess.startRead();
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mPeer.read(mStore, 3);
+  mProcess.pullFrom(mPeer);
+  mProcess.finishRead([&](const std::string& aPath) { return late.respond(aPath); });
+  BOOST_TEST(mProcess.mIsProvisional);
+  BOOST_TEST(mProcess.routedService() == "cert");
+}
+
 // Guards against a response that arrives late and, once a process has pulled newer documents, is
 // published above them.
 BOOST_AUTO_TEST_CASE(a_late_response_does_not_supersede_provisional_documents_that_came_meanwhile)
