Reject responses without a count of restores once others had it

A reader that got a response without the header took it for one of the history it knew, as long as its number had not fallen.

A store that states its restores does so in all responses. One that lacks the header now fails the read, unless no response has had it yet (a store that predates the count). Two new cases of store_reader; the first failed before. The one on the missing header expects the earlier failure, at the header.

--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -102,12 +102,42 @@
   test::StoreContent copy = mCopy;
   copy.mEraHeader.reset();
   BOOST_TEST(!mProcess.read(copy));
-  BOOST_TEST(mProcess.mFailure == "the store went back from revision 4 to 2 without a restore");
+  BOOST_TEST(mProcess.mFailure == "response without a count of restores");
   BOOST_TEST(mProcess.routedService() == "log");
   restore();
   BOOST_TEST(mProcess.read(mStore));
 }
 
+// Guards against the same once the restored store has issued more numbers than before.
+BOOST_AUTO_TEST_CASE(
+  a_restored_store_whose_header_is_missing_is_not_read_when_its_revision_has_risen)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  test::StoreContent copy = mCopy;
+  for (int i = 0; i < 4; ++i) {
+    copy.put("servers/z" + std::to_string(i), test::makeBackend("log", "10.0.0.9:80"));
+  }
+  copy.mEraHeader.reset();
+  BOOST_TEST(copy.revision() > mStore.revision());
+  BOOST_TEST(!mProcess.read(copy));
+  BOOST_TEST(!mProcess.read(copy, 3));
+  BOOST_TEST(mProcess.upstreams().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_revision_that_falls_without_a_restore_fails_the_read)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  test::StoreContent copy = mCopy;
+  BOOST_TEST(!mProcess.read(copy));
+  BOOST_TEST(mProcess.mFailure == "the store went back from revision 4 to 2 without a restore");
+  mStore.mEraHeader.reset();
+  test::StoreProcess other(mNow);
+  BOOST_TEST(other.read(mStore));
+  copy.mEraHeader.reset();
+  BOOST_TEST(!other.read(copy));
+  BOOST_TEST(other.mFailure == "the store went back from revision 4 to 2 without a restore");
+}
+
 BOOST_AUTO_TEST_CASE(a_malformed_header_fails_the_read_and_the_next_read_succeeds)
 {
   BOOST_TEST(mProcess.read(mStore));
