--- a/tests/platform/store/store_fleet.cpp
+++ b/tests/platform/store/store_fleet.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <ostream>
 
 namespace cornelcross::test {
 
@@ -66,12 +65,6 @@
 
 } // namespace
 
-std::ostream& operator<<(std::ostream& aStream, const FleetEvent& aEvent)
-{
-  return aStream << "{" << static_cast<int>(aEvent.mKind) << "," << aEvent.mTarget << ","
-                 << aEvent.mAmount << "}";
-}
-
 StoreFleet::StoreFleet() : mProcesses(kProcesses), mVersions(1), mVersionWritten(1)
 {
   for (Process& process : mProcesses) {
@@ -129,17 +122,36 @@
   mNow += kStep;
   mReadEvent.reset();
   apply(aEvent);
-  if (mPendingCopy) {
-    mLastStoreFault = mStepCount;
-    if (mStepCount >= mStoreDownUntil) {
-      mStore.restore(mCopies[*mPendingCopy]);
-      mPendingCopy.reset();
-      mIsConfigWritten = false;
-      for (auto& [name, zone] : mZones) {
-        zone.mIsWritten = false;
-      }
-    }
+  restoreStore();
+  updateProcesses();
+  if (!mPendingCopy) {
+    write();
   }
+  read();
+  pull();
+  mCopies.push_back(mStore);
+  check();
+}
+
+void StoreFleet::restoreStore()
+{
+  if (!mPendingCopy) {
+    return;
+  }
+  mLastStoreFault = mStepCount;
+  if (mStepCount < mStoreDownUntil) {
+    return;
+  }
+  mStore.restore(mCopies[*mPendingCopy]);
+  mPendingCopy.reset();
+  mIsConfigWritten = false;
+  for (auto& [name, zone] : mZones) {
+    zone.mIsWritten = false;
+  }
+}
+
+void StoreFleet::updateProcesses()
+{
   for (Process& process : mProcesses) {
     if (!process.mProcess && mStepCount >= process.mDownUntil) {
       process = {};
@@ -151,13 +163,6 @@
       std::max({ process.mFrozenUntil, process.mCutFromStoreUntil, process.mCutFromPeersUntil });
     process.mLastFault = std::max(process.mLastFault, std::min(disturbedUntil, mStepCount));
   }
-  if (!mPendingCopy) {
-    write();
-  }
-  read();
-  pull();
-  mCopies.push_back(mStore);
-  check();
 }
 
 void StoreFleet::apply(const FleetEvent& aEvent)
@@ -165,45 +170,18 @@
   Process& process = mProcesses[aEvent.mTarget % kProcesses];
   const Steps duration = 2 + aEvent.mAmount % 40;
   switch (aEvent.mKind) {
-    case Kind::kChangeConfig: {
-      Routes routes;
-      for (std::size_t i = 0; i < kAddresses.size(); ++i) {
-        const unsigned choice = (aEvent.mTarget >> (2 * i)) % 4;
-        if (choice < 2) {
-          routes[kAddresses[i]] = kServices[choice];
-        }
-      }
-      mVersions.push_back(routes);
-      mVersionWritten.push_back(0);
-      mIsConfigWritten = false;
+    case Kind::kChangeConfig:
+      changeConfig(aEvent.mTarget);
       break;
-    }
     case Kind::kToggleZone: {
       ZoneOut& zone = mZones[kZones[aEvent.mTarget % kZones.size()]];
       zone.mIsOut = !zone.mIsOut;
       zone.mIsWritten = false;
       break;
     }
-    case Kind::kAddBackend: {
-      Backend backend;
-      backend.mId = "i" + std::to_string(mBackends.size());
-      backend.mAddress = "10.0.0." + std::to_string(1 + mBackends.size()) + ":80";
-      backend.mService = kServices[aEvent.mTarget % kServices.size()];
-      for (const Backend& other : mBackends) {
-        const bool isUsed =
-          std::any_of(mBackends.begin(), mBackends.end(), [&](const Backend& aOther) {
-            return aOther.mAddress == other.mAddress &&
-                   (!aOther.mEnded || mStepCount < *aOther.mEnded + kReuseAfter);
-          });
-        if (!isUsed && aEvent.mAmount % 2 == 0) {
-          backend.mAddress = other.mAddress;
-        }
-      }
-      backend.mStarted = mStepCount;
-      backend.mStartedAtMs = 1000 + mStepCount * 250;
-      mBackends.push_back(backend);
+    case Kind::kAddBackend:
+      addBackend(kServices[aEvent.mTarget % kServices.size()], aEvent.mAmount % 2 == 0);
       break;
-    }
     case Kind::kDrainBackend:
       mBackends[aEvent.mTarget % mBackends.size()].mIsDraining = true;
       break;
@@ -220,15 +198,11 @@
       }
       break;
     case Kind::kKill:
-      process.mProcess.reset();
-      process.mLateContent.reset();
-      process.mDownUntil = mStepCount + duration / 4;
+      kill(process, duration / 4);
       break;
     case Kind::kKillAll:
       for (Process& each : mProcesses) {
-        each.mProcess.reset();
-        each.mLateContent.reset();
-        each.mDownUntil = mStepCount + duration / 4;
+        kill(each, duration / 4);
       }
       break;
     case Kind::kFreeze:
@@ -250,6 +224,51 @@
   }
 }
 
+// Two bits of aRoutes select the service of each address, or that it has none.
+void StoreFleet::changeConfig(unsigned aRoutes)
+{
+  Routes routes;
+  for (std::size_t i = 0; i < kAddresses.size(); ++i) {
+    const unsigned choice = (aRoutes >> (2 * i)) % 4;
+    if (choice < kServices.size()) {
+      routes[kAddresses[i]] = kServices[choice];
+    }
+  }
+  mVersions.push_back(routes);
+  mVersionWritten.push_back(0);
+  mIsConfigWritten = false;
+}
+
+bool StoreFleet::isAddressUsed(const std::string& aAddress) const
+{
+  return std::any_of(mBackends.begin(), mBackends.end(), [&](const Backend& aBackend) {
+    return aBackend.mAddress == aAddress &&
+           (!aBackend.mEnded || mStepCount < *aBackend.mEnded + kReuseAfter);
+  });
+}
+
+void StoreFleet::addBackend(const std::string& aService, bool aMayReuseAddress)
+{
+  Backend backend;
+  backend.mId = "i" + std::to_string(mBackends.size());
+  backend.mAddress = "10.0.0." + std::to_string(1 + mBackends.size()) + ":80";
+  backend.mService = aService;
+  for (const Backend& other : mBackends) {
+    if (aMayReuseAddress && !isAddressUsed(other.mAddress)) {
+      backend.mAddress = other.mAddress;
+    }
+  }
+  backend.mStartedAtMs = 1000 + mStepCount * kStep / 1ms;
+  mBackends.push_back(backend);
+}
+
+void StoreFleet::kill(Process& aProcess, Steps aDuration)
+{
+  aProcess.mProcess.reset();
+  aProcess.mLateContent.reset();
+  aProcess.mDownUntil = mStepCount + aDuration;
+}
+
 // Operators write at once what the store lacks, backends with their next heartbeat.
 void StoreFleet::write()
 {
--- a/tests/platform/store/store_fleet.hpp
+++ b/tests/platform/store/store_fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/store/fleet_event.hpp"
 #include "platform/store/store_process.hpp"
 
 #include <map>
@@ -9,36 +10,6 @@
 
 namespace cornelcross::test {
 
-/// @brief An event of a random day of a StoreFleet.
-struct FleetEvent
-{
-  enum class Kind
-  {
-    kNone,
-    kChangeConfig,
-    kToggleZone,
-    kAddBackend,
-    kDrainBackend,
-    kCrashBackend,
-    kRestore,
-    kKill,
-    kKillAll,
-    kFreeze,
-    kCutFromStore,
-    kCutFromPeers,
-    kRead,
-    kLateResponse,
-    kCorruptHeader,
-  };
-
-  Kind mKind = Kind::kNone;
-  unsigned mTarget = 0; ///< selects a process, backend or zone
-  unsigned mAmount = 0; ///< selects a duration, an age or a variant
-};
-
-/// @brief Prints the event of a counterexample.
-std::ostream& operator<<(std::ostream& aStream, const FleetEvent& aEvent);
-
 /// @brief Processes that read the store and pull from each other, operators and backends that write
 /// to it, and a checker of what the processes may have in force. Time passes in steps of kStep.
 ///
@@ -88,7 +59,6 @@
     std::string mAddress;
     std::string mService;
     std::uint64_t mStartedAtMs = 0;
-    Steps mStarted = 0;
     Steps mRegistered = 0;         ///< step at which the store accepted its record first
     std::optional<Steps> mDrained; ///< step at which the store accepted that it drains
     bool mIsDrainCalm = false;     ///< the store was calm at mDrained
@@ -105,6 +75,12 @@
   };
 
   void apply(const FleetEvent& aEvent);
+  void changeConfig(unsigned aRoutes);
+  bool isAddressUsed(const std::string& aAddress) const;
+  void addBackend(const std::string& aService, bool aMayReuseAddress);
+  void kill(Process& aProcess, Steps aDuration);
+  void restoreStore();
+  void updateProcesses();
   void write();
   void writeBackend(Backend& aBackend);
   void read();
--- a/tests/platform/test_store_recovery.cpp
+++ b/tests/platform/test_store_recovery.cpp
@@ -8,6 +8,31 @@
 
 using Names = std::set<std::string>;
 
+namespace {
+
+/// Two processes that start during a recovery. One of them pulls a change from the other while its
+/// own read, whose response lacks the change, is in progress.
+struct LateResponse : test::RestoredStore
+{
+  LateResponse()
+  {
+    changeAfterCopy();
+    mStore.restore(mCopy);
+    mProcess.read(mStore);
+    mPeer.read(mStore);
+    const test::StoreContent late = mStore;
+    mProcess.startRead();
+    mRespond = [late](const std::string& aPath) { return late.respond(aPath); };
+    mStore.put("op/config", test::makeConfig(12, "cert"));
+    mPeer.read(mStore, 3);
+    mProcess.pullFrom(mPeer);
+  }
+
+  test::StoreProcess::Respond mRespond;
+};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(store_recovery, test::RestoredStore)
 
 // Guards against an older configuration that goes back into force because the copy holds it.
@@ -588,38 +613,23 @@
 }
 
 // Guards against provisional documents that count as accepted since they arrived during a read.
-BOOST_AUTO_TEST_CASE(provisional_documents_that_arrive_during_a_read_stay_provisional)
+BOOST_FIXTURE_TEST_CASE(provisional_documents_that_arrive_during_a_read_stay_provisional,
+                        LateResponse)
 {
-  changeAfterCopy();
-  mStore.restore(mCopy);
-  mProcess.read(mStore);
-  mPeer.read(mStore);
-  const test::StoreContent late = mStore;
-  mProcess.startRead();
-  mStore.put("op/config", test::makeConfig(12, "cert"));
-  mPeer.read(mStore, 3);
-  mProcess.pullFrom(mPeer);
-  mProcess.finishRead([&](const std::string& aPath) { return late.respond(aPath); });
+  mProcess.finishRead(mRespond);
   BOOST_TEST(mProcess.mIsProvisional);
   BOOST_TEST(mProcess.routedService() == "cert");
 }
 
 // Guards against a response that arrives late and, once a process has pulled newer documents, is
 // published above them.
-BOOST_AUTO_TEST_CASE(a_late_response_does_not_supersede_provisional_documents_that_came_meanwhile)
+BOOST_FIXTURE_TEST_CASE(
+  a_late_response_does_not_supersede_provisional_documents_that_came_meanwhile,
+  LateResponse)
 {
-  changeAfterCopy();
-  mStore.restore(mCopy);
-  mProcess.read(mStore);
-  mPeer.read(mStore);
-  const test::StoreContent late = mStore;
-  mProcess.startRead();
-  mStore.put("op/config", test::makeConfig(12, "cert"));
-  mPeer.read(mStore, 3);
-  mProcess.pullFrom(mPeer);
   BOOST_TEST(mProcess.routedService() == "cert");
   mNow += 5s;
-  mProcess.finishRead([&](const std::string& aPath) { return late.respond(aPath); });
+  mProcess.finishRead(mRespond);
   BOOST_TEST(mProcess.routedService() == "cert");
   mPeer.pullFrom(mProcess);
   BOOST_TEST(mPeer.routedService() == "cert");
