--- a/src/membership/runtime.cpp
+++ b/src/membership/runtime.cpp
@@ -223,9 +223,11 @@
   }
   mBudget.charge(net::MainLoop::now(), response->mBodyBytes);
   countControlMessage(ControlKind::kServiceRead, "in", response->mBodyBytes);
-  if (!mStore.isOvertaken(response->mBatch, mReadRevision)) {
+  if (mStore.isOvertaken(response->mBatch, mReadRevision)) {
+    logOutdated(response->mBatch, "service");
+  } else {
     merge(response->mBatch, "service");
-    if (response->mMayLackDeletions) {
+    if (response->mAreDeletionsUnknown) {
       mStore.setDeletionsUnknown();
     }
   }
--- a/src/net/config_client.hpp
+++ b/src/net/config_client.hpp
@@ -23,7 +23,7 @@
   bool mIsProvisional = false;
 
   /// True if the service may have deleted documents of which the batch has no tombstone.
-  bool mMayLackDeletions = false;
+  bool mAreDeletionsUnknown = false;
 };
 
 /// @brief Reason why a read of the configuration service failed.
--- a/tests/platform/store/store_process.cpp
+++ b/tests/platform/store/store_process.cpp
@@ -45,7 +45,7 @@
   mIsProvisional = mResponse->mIsProvisional;
   if (!mDocuments.isOvertaken(mResponse->mBatch, mReadRevision)) {
     mDocuments.merge(mResponse->mBatch);
-    if (mResponse->mMayLackDeletions) {
+    if (mResponse->mAreDeletionsUnknown) {
       mDocuments.setDeletionsUnknown();
     }
   }
