Log which upstream an agent was set up for, and which one a document gives it

The log of an agent couldn't tell three hypotheses apart: - the agent follows documents that are older than its VM; - it has the right documents, and its check of a forwarded packet misses the foreign service; - the record of its upstream in the store names the wrong service. `upstream_assigned` named a service, but neither the settings' service nor the revision of the documents.

process_started of an agent now has the service and the endpoint of the upstream beside it, as its settings state them; upstream_assigned has the upstream's endpoint, its start and the revision. The settings file always had both members, `service` and `app`; they were not read. Nothing else uses them yet.

--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -5,12 +5,18 @@
 #include "base/time.hpp"
 #include "flow/endpoint.hpp"
 
+#include <optional>
+#include <string>
+
 namespace cornelcross::agent {
 
 /// @brief Settings of FlowManager.
 struct AgentSettings
 {
-  flow::Endpoint mSelf;                  ///< address of this agent in the configuration
+  flow::Endpoint mSelf;      ///< address of this agent in the configuration
+  std::string mService = {}; ///< service of the upstream beside this agent; may be empty
+  /// Endpoint of the upstream beside this agent; empty if unknown.
+  std::optional<flow::Endpoint> mUpstreamAddress = {};
   std::uint16_t mMaxSegmentBytes = 1380; ///< upper bound for the MSS option
   admission::AdmissionSettings mAdmission = {};
   /// Time after its start in which an agent's records may lack flows of its upstream.
--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -148,7 +148,10 @@
            { { "upstream", mUpstream->mName },
              { "service", mServiceName },
              { "zone", mUpstream->mZone },
-             { "state", std::string(toString(mUpstream->mState)) } } };
+             { "state", std::string(toString(mUpstream->mState)) },
+             { "address", mUpstream->mAddress.toString() },
+             { "started_at_ms", std::to_string(mUpstream->mStartedAtMs) },
+             { "revision", std::to_string(revision()) } } };
 }
 
 void FlowManager::updateReportTargets(const config::Service& aService)
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -10,6 +10,14 @@
   advertise,
   "",
   "[Addresses] ADDRESS:PORT of this agent as the configuration lists it; --listen if empty");
+DEFINE_string(service,
+              "",
+              "[Addresses] service of the upstream beside this agent; if empty, the configuration "
+              "alone decides");
+DEFINE_string(upstream,
+              "",
+              "[Addresses] ADDRESS:PORT of the upstream beside this agent; if empty, the "
+              "configuration alone decides");
 DEFINE_string(admin, "", "[Addresses] ADDRESS:PORT for /metrics, /status and /healthz");
 DEFINE_string(fabric,
               "",
@@ -57,6 +65,10 @@
   settings.mAgent.mSelf = FLAGS_advertise.empty()
                             ? settings.mListen
                             : validator.parseEndpoint("advertise", FLAGS_advertise);
+  settings.mAgent.mService = FLAGS_service;
+  if (!FLAGS_upstream.empty()) {
+    settings.mAgent.mUpstreamAddress = validator.parseEndpoint("upstream", FLAGS_upstream);
+  }
   settings.mAgent.mAdmission.mMaxFlows = FLAGS_max_flows;
   settings.mAgent.mAdmission.mConcurrencyLimit.mColdStartLimit = FLAGS_cold_limit;
   settings.mAgent.mAdmission.mConcurrencyLimit.mColdStartDuration =
--- a/src/agent/runtime.cpp
+++ b/src/agent/runtime.cpp
@@ -15,6 +15,11 @@
 
 constexpr std::size_t kMaxRecentRefusals = 16;
 
+std::string toString(const std::optional<flow::Endpoint>& aEndpoint)
+{
+  return aEndpoint ? aEndpoint->toString() : "";
+}
+
 } // namespace
 
 Runtime::Runtime(const RuntimeSettings& aSettings, net::DeploymentHooks aHooks)
@@ -91,7 +96,9 @@
   mLoop.every(kProbeTimerInterval, [this] { onProbeTimer(); });
   mLog.write({ telemetry::EventKind::kProcessStarted,
                { { "listen", mSettings.mListen.toString() },
-                 { "advertise", mSettings.mAgent.mSelf.toString() } } });
+                 { "advertise", mSettings.mAgent.mSelf.toString() },
+                 { "service", mSettings.mAgent.mService },
+                 { "upstream", toString(mSettings.mAgent.mUpstreamAddress) } } });
   mMembership.start(mLoop);
   mLoop.run();
   mLog.write({ telemetry::EventKind::kProcessStopped, {} });
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -63,6 +63,19 @@
   BOOST_TEST((leadTime(json) == usual));
 }
 
+BOOST_AUTO_TEST_CASE(an_agent_gets_the_service_and_the_endpoint_of_its_backend)
+{
+  auto json = completeSettings();
+  json["service"] = "log";
+  json["app"] = "10.1.0.12:8165";
+  const auto agent = platform::agentSettings(settingsOf(json)).mAgent;
+  BOOST_TEST(agent.mService == "log");
+  BOOST_TEST(agent.mUpstreamAddress->toString() == "10.1.0.12:8165");
+  json["service"] = 5;
+  json["app"] = "10.1.0.12";
+  BOOST_TEST(errorsOf(json).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_balancer_needs_no_backend_address)
 {
   auto json = completeSettings();
