Serve no upstream but the one beside the agent

Cause: an agent took the service of its upstream from the documents alone: the upstream that is listed with the agent's own address was its upstream. On the platform an address is used again once its VM is gone. The new agent there pulls the documents of a peer, which still list the former upstream, and delivers flows of the former service to the new upstream. With the store down that lasts until the store is back.

Ruled out: the check of forwarded packets works (the packet and the agent's documents agree on xano55b); the store never had a record that gives dele69a's address to xano55b (a trial that logs the store's responses).

The agent now compares a listed upstream with the service and the endpoint that its settings state. An upstream that differs isn't its own: the agent has no upstream then, passes packets on to the next candidate, neither owns nor denies a flow, and sends no load report. The event upstream_mismatched says so. This does not depend on which documents are older, nor on clocks. Deployments that don't state the two members follow the configuration alone, as before.

--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -70,33 +70,15 @@
   mReportTargets.clear();
   mReportingUpstreams.clear();
   mAdmission.clearLoadReports();
-  std::string serviceName;
-  for (const auto& [name, service] : mConfiguration->mServices) {
-    for (const auto& upstream : service.mUpstreams) {
-      if (upstream.mAgent == mSettings.mSelf) {
-        mUpstream = upstream;
-        mServiceAddress = service.mAddress;
-        mServiceName = name;
-        mServiceHash = config::upstreamIdentity(name, "");
-        mAdmission.configure(aNow,
-                             upstream.mSlots,
-                             mConfiguration->acceptsNewFlows(upstream),
-                             upstream.mState == config::UpstreamState::kJoining,
-                             service.mColdStart);
-        updateReportTargets(service);
-        serviceName = name;
-      }
-    }
-  }
-  mCandidateForwarder.configure(mConfiguration, std::move(serviceName));
-  Actions actions;
+  Actions actions = assignUpstream(aNow);
+  mCandidateForwarder.configure(mConfiguration, mUpstream ? mServiceName : std::string());
   // Another VM, or the same VM for another service, owns none of the recorded flows.
   const bool isReplaced =
     previous && mUpstream &&
     (previous->mAddress != mUpstream->mAddress || previousServiceHash != mServiceHash ||
      previousAddress != mServiceAddress);
   if (isReplaced) {
-    actions = closeAllFlows(aNow);
+    append(actions, closeAllFlows(aNow));
   }
   const bool hasRestarted =
     previous && mUpstream && previous->mStartedAtMs != mUpstream->mStartedAtMs;
@@ -110,6 +92,61 @@
   return actions;
 }
 
+Actions FlowManager::assignUpstream(base::Time aNow)
+{
+  Actions actions;
+  std::optional<config::Upstream> foreign;
+  for (const auto& [name, service] : mConfiguration->mServices) {
+    for (const auto& upstream : service.mUpstreams) {
+      if (upstream.mAgent != mSettings.mSelf) {
+        continue;
+      }
+      if (!isBesideThisAgent(name, upstream)) {
+        foreign = upstream;
+        if (foreign != mForeignUpstream) {
+          actions.emplace_back(mismatchEvent(name, upstream));
+        }
+        continue;
+      }
+      mUpstream = upstream;
+      mServiceAddress = service.mAddress;
+      mServiceName = name;
+      mServiceHash = config::upstreamIdentity(name, "");
+      mAdmission.configure(aNow,
+                           upstream.mSlots,
+                           mConfiguration->acceptsNewFlows(upstream),
+                           upstream.mState == config::UpstreamState::kJoining,
+                           service.mColdStart);
+      updateReportTargets(service);
+    }
+  }
+  mForeignUpstream = std::move(foreign);
+  return actions;
+}
+
+// An address is used again once its VM is gone, and the configuration may be older than this VM.
+bool FlowManager::isBesideThisAgent(const std::string& aService,
+                                    const config::Upstream& aUpstream) const
+{
+  const bool isOwnService = mSettings.mService.empty() || mSettings.mService == aService;
+  return isOwnService &&
+         mSettings.mUpstreamAddress.value_or(aUpstream.mAddress) == aUpstream.mAddress;
+}
+
+telemetry::Event FlowManager::mismatchEvent(const std::string& aService,
+                                            const config::Upstream& aUpstream) const
+{
+  const flow::Endpoint expected = mSettings.mUpstreamAddress.value_or(aUpstream.mAddress);
+  return { telemetry::EventKind::kUpstreamMismatched,
+           { { "upstream", aUpstream.mName },
+             { "service", aService },
+             { "expected_service", mSettings.mService.empty() ? aService : mSettings.mService },
+             { "address", aUpstream.mAddress.toString() },
+             { "expected_address", expected.toString() },
+             { "started_at_ms", std::to_string(aUpstream.mStartedAtMs) },
+             { "revision", std::to_string(revision()) } } };
+}
+
 // An upstream that started or was assigned after this agent has no flow without a record here,
 // since all packets for the upstream pass this agent. Both started on the same VM, so that one
 // clock gave both times.
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -179,6 +179,10 @@
                              const FlowRecord& aRecord,
                              const std::string& aReason);
   Actions closeAllFlows(base::Time aNow);
+  Actions assignUpstream(base::Time aNow);
+  bool isBesideThisAgent(const std::string& aService, const config::Upstream& aUpstream) const;
+  telemetry::Event mismatchEvent(const std::string& aService,
+                                 const config::Upstream& aUpstream) const;
   Actions onUnrecordedUpstreamSegment(base::Time aNow,
                                       const flow::TcpPacket& aPacket,
                                       flow::Bytes aBytes);
@@ -203,6 +207,7 @@
   MeasurementCallbacks mMeasurementCallbacks;
   config::ConfigurationPtr mConfiguration;
   std::optional<config::Upstream> mUpstream;
+  std::optional<config::Upstream> mForeignUpstream; ///< listed for this agent, but not beside it
   flow::Endpoint mServiceAddress;
   std::uint64_t mServiceHash = 0;
   std::string mServiceName;
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -23,6 +23,8 @@
       return "process_paused";
     case EventKind::kUpstreamAssigned:
       return "upstream_assigned";
+    case EventKind::kUpstreamMismatched:
+      return "upstream_mismatched";
     case EventKind::kFlowOpened:
       return "flow_opened";
     case EventKind::kFlowClosed:
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -19,6 +19,7 @@
   kConfigConfirmed,
   kProcessPaused,
   kUpstreamAssigned,
+  kUpstreamMismatched,
   kFlowOpened,
   kFlowClosed,
   kFlowRefused,
