Bound the length of a log line

Report: another writer leaves an odd entry among those of the backends, and processes that read the list stop following it. One way here: the reason why an entry is rejected quotes it, so that a line of the log is as long as the entry, up to a megabyte, on every process that reads the store. EventLog relies on lines below PIPE_BUF: a longer write blocks a process whose standard output is not read at that moment.

A value of a line is cut after 512 bytes, and control characters are replaced.

--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -2,8 +2,10 @@
 
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <chrono>
 #include <poll.h>
+#include <string_view>
 #include <unistd.h>
 #include <utility>
 
@@ -11,9 +13,26 @@
 
 namespace cornelcross::telemetry {
 
+namespace {
+
+/// Longest value in a line, in bytes. An event has few fields, of which one may be text from
+/// outside, so that a line stays below PIPE_BUF.
+constexpr std::size_t kMaxValueBytes = 512;
+
+bool isControl(char aCharacter)
+{
+  return static_cast<unsigned char>(aCharacter) < ' ' || aCharacter == '\x7f';
+}
+
+} // namespace
+
 std::string quote(const std::string& aValue)
 {
-  if (!aValue.empty() && aValue.find_first_of(" \"=\\\n\t") == std::string::npos) {
+  const auto needsQuotes = [](char aCharacter) {
+    return isControl(aCharacter) ||
+           std::string_view(" \"=\\").find(aCharacter) != std::string_view::npos;
+  };
+  if (!aValue.empty() && std::none_of(aValue.begin(), aValue.end(), needsQuotes)) {
     return aValue;
   }
   std::string quoted = "\"";
@@ -21,7 +40,7 @@
     if (character == '"' || character == '\\') {
       quoted += '\\';
     }
-    quoted += character == '\n' ? ' ' : character;
+    quoted += isControl(character) ? ' ' : character;
   }
   return quoted + '"';
 }
@@ -52,7 +71,9 @@
   line += " event=";
   line += toString(aEvent.mKind);
   for (const auto& [name, value] : aEvent.mFields) {
-    line.append(" ").append(name).append("=").append(quote(value));
+    const bool isLong = value.size() > kMaxValueBytes;
+    line.append(" ").append(name).append("=").append(
+      quote(isLong ? value.substr(0, kMaxValueBytes) + "..." : value));
   }
   return line;
 }
--- a/tests/platform/store/store_content.cpp
+++ b/tests/platform/store/store_content.cpp
@@ -40,6 +40,8 @@
   Json item{ { "key", aChange.mKey }, { "revision", aChange.mRevision } };
   if (aChange.mValue) {
     item["value"] = toBase64(*aChange.mValue);
+    item["created"] = aChange.mCreated;
+    item["lease"] = aChange.mLease;
   } else {
     item["removed"] = true;
   }
@@ -48,9 +50,13 @@
 
 } // namespace
 
-std::uint64_t StoreContent::put(const std::string& aKey, const std::string& aValue)
+std::uint64_t StoreContent::put(const std::string& aKey,
+                                const std::string& aValue,
+                                std::uint64_t aLease)
 {
-  mItems[aKey] = { aKey, ++mRevision, aValue };
+  const auto found = mItems.find(aKey);
+  const std::uint64_t created = found == mItems.end() ? mRevision + 1 : found->second.mCreated;
+  mItems[aKey] = { aKey, ++mRevision, aValue, created, aLease };
   mHistory.push_back(mItems[aKey]);
   return mRevision;
 }
@@ -58,7 +64,7 @@
 std::uint64_t StoreContent::remove(const std::string& aKey)
 {
   mItems.erase(aKey);
-  mHistory.push_back({ aKey, ++mRevision, std::nullopt });
+  mHistory.push_back({ aKey, ++mRevision, std::nullopt, 0, 0 });
   return mRevision;
 }
 
--- a/tests/platform/store/store_content.hpp
+++ b/tests/platform/store/store_content.hpp
@@ -14,8 +14,17 @@
 class StoreContent
 {
 public:
-  /// @brief Writes an item. @return the new revision
-  std::uint64_t put(const std::string& aKey, const std::string& aValue);
+  /// @brief Writes an item that expires without its writer. @return the new revision
+  std::uint64_t put(const std::string& aKey, const std::string& aValue)
+  {
+    return put(aKey, aValue, kLease);
+  }
+
+  /// @brief Writes an item that stays when its writer is gone. @return the new revision
+  std::uint64_t putPermanent(const std::string& aKey, const std::string& aValue)
+  {
+    return put(aKey, aValue, 0);
+  }
 
   /// @brief Removes an item. @return the new revision
   std::uint64_t remove(const std::string& aKey);
@@ -38,13 +47,19 @@
   std::size_t mPageSize = 500;                 ///< items per page of a list
 
 private:
+  static constexpr std::uint64_t kLease = 77120;
+
   struct Change
   {
     std::string mKey;
     std::uint64_t mRevision = 0;
     std::optional<std::string> mValue; ///< empty if the item was removed
+    std::uint64_t mCreated = 0;        ///< revision at which the item was created
+    std::uint64_t mLease = 0;          ///< 0 for none
   };
 
+  std::uint64_t put(const std::string& aKey, const std::string& aValue, std::uint64_t aLease);
+
   std::uint64_t mRevision = 0;
   std::uint64_t mEra = 1;
   std::map<std::string, Change> mItems;
