--- a/tests/platform/test_foreign_records.cpp
+++ b/tests/platform/test_foreign_records.cpp
@@ -85,6 +85,16 @@
 
 BOOST_FIXTURE_TEST_SUITE(foreign_records, ForeignRecords)
 
+// Guards against processes that exceed their memory at a large record, which takes a multiple of
+// its size once it is parsed.
+BOOST_AUTO_TEST_CASE(a_record_of_the_largest_size_of_an_item_is_rejected_by_its_size)
+{
+  const auto result = platform::decodeBackendRecord(std::string(1048576, '['));
+  const auto* error = std::get_if<platform::DecodeError>(&result);
+  BOOST_REQUIRE(error != nullptr);
+  BOOST_TEST(error->mReason == "1048576 bytes, expected at most 16384");
+}
+
 // Guards against writes that block: a line of the log above PIPE_BUF bytes is not written at once.
 BOOST_AUTO_TEST_CASE(a_record_does_not_make_a_long_line_in_the_log)
 {
