--- a/tests/platform/test_foreign_records.cpp
+++ b/tests/platform/test_foreign_records.cpp
@@ -85,6 +85,14 @@
 
 BOOST_FIXTURE_TEST_SUITE(foreign_records, ForeignRecords)
 
+// Guards against a service whose upstreams no longer change: a key without an id made its document
+// invalid.
+BOOST_AUTO_TEST_CASE(a_record_without_an_id_is_not_used_and_changes_nothing_else)
+{
+  mStore.put("servers/", test::makeBackend("log", "10.0.0.9:80"));
+  BOOST_TEST(areBackendsFollowed());
+}
+
 // Guards against processes that exceed their memory at a large record, which takes a multiple of
 // its size once it is parsed.
 BOOST_AUTO_TEST_CASE(a_record_of_the_largest_size_of_an_item_is_rejected_by_its_size)
@@ -112,4 +120,98 @@
   }
 }
 
+// Guards against a log that fills with one line for each read of an item.
+BOOST_AUTO_TEST_CASE(a_record_that_is_not_used_is_reported_once)
+{
+  mStore.putPermanent("servers/odd", "no json");
+  mStore.putPermanent("servers/claim", test::makeBackend("cert", "10.0.0.1:80"));
+  pass(3s);
+  BOOST_TEST(rejections() == 2U);
+  mStore.putPermanent("servers/odd", "still no json");
+  pass(3s);
+  BOOST_TEST(rejections() == 3U);
+}
+
+// Guards against a backend that is no longer listed: a record of a service that does not exist,
+// with the backend's address and a later start, took its place.
+BOOST_AUTO_TEST_CASE(a_record_of_an_unknown_service_takes_no_address)
+{
+  mStore.put("servers/odd", test::makeBackend("nobody", "10.0.0.1:80", "ready", 9000));
+  BOOST_TEST(areBackendsFollowed());
+}
+
+// Guards against services whose documents are invalid, so that their upstreams no longer change: a
+// record has the VM of another backend with another port, or the port of its agent.
+BOOST_AUTO_TEST_CASE(a_record_with_the_vm_of_a_backend_takes_nothing_from_it)
+{
+  for (const char* service : { "log", "cert" }) {
+    for (const char* address : { "10.0.0.1:81", "10.0.0.3:81", "10.0.0.1:8172" }) {
+      for (const std::uint64_t start : { 0, 9000 }) {
+        ForeignRecords store;
+        store.mStore.put("servers/odd", test::makeBackend(service, address, "ready", start));
+        BOOST_TEST(store.areBackendsFollowed(), service << " " << address << " " << start);
+      }
+    }
+  }
+}
+
+// Guards against a backend that is no longer listed because another service claims its address.
+BOOST_AUTO_TEST_CASE(an_address_stays_with_its_backend_while_the_record_of_that_one_is_renewed)
+{
+  mStore.put("servers/odd", test::makeBackend("cert", "10.0.0.1:80", "ready", 9000));
+  BOOST_TEST(areBackendsFollowed());
+}
+
+BOOST_AUTO_TEST_CASE(an_address_that_is_used_again_is_listed_once_the_former_record_is_removed)
+{
+  mStore.put("servers/new", test::makeBackend("cert", "10.0.0.1:80", "ready", 9000));
+  pass(3s);
+  mStore.remove("servers/x");
+  read();
+  BOOST_TEST(hasUpstreams({ "y serving" }, { "z serving", "new serving" }));
+}
+
+// Guards against a restarted backend that counts as warm until its former record expires.
+BOOST_AUTO_TEST_CASE(a_backend_that_restarts_with_another_id_replaces_its_former_record_at_once)
+{
+  // The clock of the VM went back in between.
+  mStore.put("servers/new", test::makeBackend("log", "10.0.0.1:80", "draining", 500));
+  read();
+  BOOST_TEST(hasUpstreams({ "new leaving", "y serving" }, { "z serving" }));
+}
+
+// Guards against a backend that is not listed because of a record that nobody renews.
+BOOST_AUTO_TEST_CASE(a_record_without_a_lease_yields_to_one_with_a_lease)
+{
+  mStore.putPermanent("servers/odd", test::makeBackend("log", "10.0.0.7:80", "draining", 9000));
+  mStore.putPermanent("servers/odder", test::makeBackend("log", "10.0.0.8:81"));
+  mStore.put("servers/v", test::makeBackend("log", "10.0.0.7:80"));
+  mStore.put("servers/u", test::makeBackend("cert", "10.0.0.8:80"));
+  read();
+  BOOST_TEST(hasUpstreams({ "x serving", "y serving", "v serving" }, { "z serving", "u serving" }));
+  mStore.putPermanent("servers/later", test::makeBackend("log", "10.0.0.7:80", "draining", 9000));
+  read();
+  BOOST_TEST(hasUpstreams({ "x serving", "y serving", "v serving" }, { "z serving", "u serving" }));
+}
+
+// Guards against a backend that is not listed after an outage of the store: its record expired, and
+// a record that nobody renews has its VM.
+BOOST_AUTO_TEST_CASE(a_record_without_a_lease_does_not_replace_a_backend_that_may_register_again)
+{
+  mStore.putPermanent("servers/odd", test::makeBackend("cert", "10.0.0.1:81"));
+  mStore.putPermanent("servers/odder", test::makeBackend("log", "10.0.0.2:80", "draining", 9000));
+  read();
+  mNow += 10s;
+  mStore.remove("servers/x");
+  mStore.remove("servers/y");
+  mStore.remove("servers/z");
+  read();
+  BOOST_TEST(hasUpstreams({ "x serving", "y serving" }, { "z serving" }));
+  mStore.put("servers/x", test::makeBackend("log", "10.0.0.1:80"));
+  mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
+  mStore.put("servers/z", test::makeBackend("cert", "10.0.0.3:80"));
+  pass(4s);
+  BOOST_TEST(areBackendsFollowed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
