--- a/tests/platform/test_foreign_records.cpp
+++ b/tests/platform/test_foreign_records.cpp
@@ -85,6 +85,44 @@
 
 BOOST_FIXTURE_TEST_SUITE(foreign_records, ForeignRecords)
 
+// Guards against processes that end, or no longer follow the store, at a record that no backend
+// wrote.
+BOOST_AUTO_TEST_CASE(a_record_with_an_odd_member_is_not_used_and_changes_nothing_else)
+{
+  const std::string deep = std::string(5000, '[') + std::string(5000, ']');
+  for (const std::string& record : {
+         deep,
+         std::string(100000, '['),
+         std::string(100000, '{'),
+         withMember("extra", deep) + "]",
+         withMember("address", "\"10.0.0.9:65536\""),
+         withMember("address", "\"10.0.0.9:0\""),
+         withMember("address", "\"10.0.0.9:-1\""),
+         withMember("address", "\"0.0.0.0:80\""),
+         withMember("address", "\"255.255.255.255:80\""),
+         withMember("address", "\"10.0.0.9:8172\""), // the port of the agents
+         withMember("capacity", "1e400"),
+         withMember("capacity", "1e300"),
+         withMember("capacity", "4.5"),
+         withMember("capacity", "99999999999999999999999999"),
+         withMember("born", "-1"),
+         withMember("born", "1e300"),
+         withMember("born", "1e400"),
+         withMember("born", "1.5"),
+         withMember("born", "99999999999999999999999999"),
+         withMember("warmupLeftMs", "1e400"),
+         withMember("zone", "\"" + std::string(100000, 'a') + "\""),
+         withMember("zone", "\"\\ud800\""),
+         withMember("service", "\"nobody\""),
+         std::string("\xff\xfe\x00", 3),
+         std::string(),
+       }) {
+    ForeignRecords store;
+    store.mStore.put("servers/odd", record);
+    BOOST_TEST(store.areBackendsFollowed(), record.substr(0, 300));
+  }
+}
+
 // Guards against a service whose upstreams no longer change: a key without an id made its document
 // invalid.
 BOOST_AUTO_TEST_CASE(a_record_without_an_id_is_not_used_and_changes_nothing_else)
@@ -214,4 +252,54 @@
   BOOST_TEST(areBackendsFollowed());
 }
 
+// Guards against any other combination of members and addresses that harms another record.
+BOOST_AUTO_TEST_CASE(arbitrary_records_harm_no_backend)
+{
+  const bool holds = rc::check("arbitrary records", [] {
+    ForeignRecords store;
+    const auto count = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < count; ++i) {
+      const auto member = [](auto... aTexts) {
+        return *rc::gen::element<std::string>("null", "-1", "1e300", "[[]]", "{}", aTexts...);
+      };
+      const auto valid = [](const std::string& aValid, const std::string& aOdd) {
+        return *rc::gen::inRange(0, 6) == 0 ? aOdd : aValid;
+      };
+      const std::string address = *rc::gen::element<std::string>(
+        "10.0.0.1:80", "10.0.0.1:81", "10.0.0.2:8172", "10.0.0.3:80", "10.0.0.8:80", "10.0.0.8:81");
+      const std::string service = *rc::gen::element<std::string>("log", "cert", "nobody");
+      const std::string text =
+        "{\"service\":" + valid("\"" + service + "\"", member("\"\"")) + ",\"address\":" +
+        valid("\"" + address + "\"", member("\"10.0.0.1:99999\"", "\"0.0.0.0:1\"")) +
+        ",\"zone\":" + valid("\"a\"", member("\"\"", "\"elsewhere\"")) +
+        ",\"capacity\":" + valid("7", member("0", "1e400")) +
+        ",\"state\":" + valid("\"ready\"", member("\"asleep\"", "\"draining\"")) +
+        ",\"born\":" + valid("9000", member("0", "18446744073709551615")) + "}";
+      const std::string id = *rc::gen::element<std::string>("", "odd", "a/b", "\"", "10.0.0.1");
+      const bool isSameBackend = (service == "log" && (address == "10.0.0.1:80")) ||
+                                 (service == "cert" && address == "10.0.0.3:80");
+      if (isSameBackend) {
+        store.mStore.putPermanent("servers/" + id, text); // with a lease, it is a restart
+      } else {
+        store.mStore.put("servers/" + id, text);
+      }
+    }
+    store.mNow += 10s; // an outage of the store
+    store.read();
+    const auto isListed = [&](const std::string& aService, const std::string& aUpstream) {
+      return store.mLister.upstreams(aService).contains(aUpstream) &&
+             store.mWatcher.upstreams(aService).contains(aUpstream);
+    };
+    RC_ASSERT(isListed("log", "x serving"));
+    RC_ASSERT(isListed("log", "y serving"));
+    RC_ASSERT(isListed("cert", "z serving"));
+    store.mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80", "draining"));
+    store.mStore.put("servers/w", test::makeBackend("cert", "10.0.0.4:80"));
+    store.read();
+    RC_ASSERT(isListed("log", "y leaving"));
+    RC_ASSERT(isListed("cert", "w serving"));
+  });
+  BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
