--- a/tests/platform/store/test_store_source.cpp
+++ b/tests/platform/store/test_store_source.cpp
@@ -81,4 +81,27 @@
   BOOST_TEST(reader.reads("cert"));
 }
 
+// Guards against a process that ends or no longer follows the store at a record of another writer,
+// among them one of the largest size that the store takes.
+BOOST_AUTO_TEST_CASE(a_change_is_applied_beside_records_of_other_writers)
+{
+  test::StoreServer server(kStore);
+  server.mContent.put("servers/x", test::makeBackend("log", "10.0.0.1:80"));
+  server.mContent.put("op/config", test::makeConfig(5, "log"));
+  server.mContent.put("servers/deep", std::string(1048576, '['));
+  server.mContent.put("servers/port", test::makeBackend("log", "10.0.0.2:65536"));
+  server.mContent.put("servers/vm", test::makeBackend("log", "10.0.0.1:81"));
+  server.mContent.put("servers/", test::makeBackend("log", "10.0.0.3:80"));
+  Reader reader;
+  BOOST_TEST(reader.reads("log"));
+  server.mContent.put("servers/deep", std::string(1048576, '{'));
+  server.mContent.put("servers/y", test::makeBackend("log", "10.0.0.4:80"));
+  server.mContent.put("op/config", test::makeConfig(7, "cert"));
+  BOOST_TEST(reader.reads("cert"));
+  const auto& upstreams = reader.mDocuments.configuration()->mServices.at("log").mUpstreams;
+  BOOST_REQUIRE(upstreams.size() == 2U);
+  BOOST_TEST(upstreams[0].mName == "x");
+  BOOST_TEST(upstreams[1].mName == "y");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
