--- a/tests/platform/test_foreign_records.cpp
+++ b/tests/platform/test_foreign_records.cpp
@@ -141,6 +141,20 @@
   BOOST_TEST(error->mReason == "1048576 bytes, expected at most 16384");
 }
 
+// Guards against a list that is rejected whole because of a member that decides little.
+BOOST_AUTO_TEST_CASE(an_item_without_a_usable_lease_is_read)
+{
+  for (const char* lease : { "null", "-1", "1e300", "\"\"" }) {
+    const auto result = platform::decodeResponse(
+      R"({"storeRevision": 1, "items": [{"key": "servers/x", "revision": 1, "value": "", "created": )" +
+      std::string(lease) + ", \"lease\": " + lease + "}]}");
+    const auto* response = std::get_if<platform::StoreResponse>(&result);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->mItems.front().mHasLease);
+    BOOST_TEST(response->mItems.front().mCreated == 0U);
+  }
+}
+
 // Guards against writes that block: a line of the log above PIPE_BUF bytes is not written at once.
 BOOST_AUTO_TEST_CASE(a_record_does_not_make_a_long_line_in_the_log)
 {
