State for which upstream an agent took a flow, and what its settings say

A request that another service ran could not be traced from logs: flow_opened was logged for one flow in 64 and named only the upstream. It now states the service, the endpoint and the start of the upstream, the revision of the configuration that lists it, and what the settings state of the upstream beside the agent.

Test: upstream_assignment, 8 cases passed; the whole suite was not run.

--- a/src/agent/new_flows.cpp
+++ b/src/agent/new_flows.cpp
@@ -169,10 +169,28 @@
   flow::Bytes bytes = std::move(aForward.mPacket);
   Actions actions = deliverReturnable(std::move(bytes), aForward);
   sendOwnerUpdate(aPacket.keyFromCaller(), aForward, actions);
-  actions.emplace_back(telemetry::Event{
-    telemetry::EventKind::kFlowOpened,
-    { { "flow", aPacket.keyFromCaller().toString() }, { "upstream", mUpstream->mName } } });
+  actions.emplace_back(openedEvent(aPacket.keyFromCaller()));
   return actions;
 }
 
+// States both what the configuration lists and what the settings state, as either may be wrong if
+// another service serves the flow.
+telemetry::Event FlowManager::openedEvent(const flow::FlowKey& aFlow) const
+{
+  telemetry::Event event{ telemetry::EventKind::kFlowOpened,
+                          { { "flow", aFlow.toString() },
+                            { "service", mServiceName },
+                            { "upstream", mUpstream->mName },
+                            { "address", mUpstream->mAddress.toString() },
+                            { "started_at_ms", std::to_string(mUpstream->mStartedAtMs) },
+                            { "revision", std::to_string(revision()) } } };
+  if (!mSettings.mService.empty()) {
+    event.mFields.emplace_back("expected_service", mSettings.mService);
+  }
+  if (mSettings.mUpstreamAddress) {
+    event.mFields.emplace_back("expected_address", mSettings.mUpstreamAddress->toString());
+  }
+  return event;
+}
+
 } // namespace cornelcross::agent
--- a/tests/unit/test_upstream_assignment.cpp
+++ b/tests/unit/test_upstream_assignment.cpp
@@ -101,6 +101,28 @@
                mAgent.onForward(mNow, mAgent.revision(), opened)) != nullptr);
 }
 
+// Guards against logs that don't tell whether the configuration or the settings were wrong when
+// another service served a flow.
+BOOST_AUTO_TEST_CASE(states_for_which_upstream_it_took_a_flow_and_what_its_settings_state)
+{
+  mAgent.apply(mNow, share(makeCurrentConfiguration()));
+  auto opened = forward(flow::kSyn, config::upstreamIdentity("certdesk", ""));
+  opened.mPacket = makePacket({ kCaller, kCertdeskAddress, flow::kSyn, 1000, 0, 0 });
+  const auto actions = mAgent.onForward(mNow, mAgent.revision(), opened);
+  const auto* event = findAction<telemetry::Event>(actions);
+  BOOST_REQUIRE(event != nullptr);
+  const telemetry::Event expected{ telemetry::EventKind::kFlowOpened,
+                                   { { "flow", kCaller.toString() + ">198.51.100.11:80" },
+                                     { "service", "certdesk" },
+                                     { "upstream", "certdesk-1" },
+                                     { "address", mAgent.upstream()->mAddress.toString() },
+                                     { "started_at_ms", "0" },
+                                     { "revision", "2" },
+                                     { "expected_service", "certdesk" },
+                                     { "expected_address", "127.0.10.1:7001" } } };
+  BOOST_TEST((*event == expected));
+}
+
 // Guards against flows of one upstream at the port of another on the same VM.
 BOOST_AUTO_TEST_CASE(does_not_serve_an_upstream_at_another_port)
 {
