Run the programs as processes beside stand-ins of the platform, with random faults

tests/soak starts balancers and agents as processes on loopback, with the stand-in of the store, upstreams, callers and a fabric that sprays packets by readiness. The checks use what callers and upstreams see: requests run by a service that no configuration allows, run twice, or answered with another response.

scenarios::Child takes an environment in place of the name of a mechanism, so that both runners start their programs with it.

--- a/tests/scenarios/runner/child.cpp
+++ b/tests/scenarios/runner/child.cpp
@@ -20,15 +20,14 @@
 
 Child::Child(const std::vector<std::string>& aCommand,
              const std::filesystem::path& aLog,
-             const std::string& aDisabledMechanism)
+             const std::map<std::string, std::string>& aEnvironment)
 {
   GSubprocessLauncher* launcher = g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDIN_PIPE);
   g_subprocess_launcher_set_stdout_file_path(launcher, aLog.c_str());
   g_subprocess_launcher_set_stderr_file_path(launcher, (aLog.string() + ".err").c_str());
   g_subprocess_launcher_set_child_setup(launcher, &endWithParent, nullptr, nullptr);
-  if (!aDisabledMechanism.empty()) {
-    g_subprocess_launcher_setenv(
-      launcher, "CORNELCROSS_TEST_FAULT", aDisabledMechanism.c_str(), TRUE);
+  for (const auto& [name, value] : aEnvironment) {
+    g_subprocess_launcher_setenv(launcher, name.c_str(), value.c_str(), TRUE);
   }
   std::vector<const char*> arguments;
   arguments.reserve(aCommand.size() + 1);
--- a/tests/scenarios/runner/child.hpp
+++ b/tests/scenarios/runner/child.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <filesystem>
 #include <gio/gio.h>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,12 +15,12 @@
 class Child
 {
 public:
-  /// @brief Starts a program with its output in aLog and its errors in aLog.err. A nonempty
-  /// aDisabledMechanism names the mechanism that the program disables. @throws std::runtime_error
-  /// if the start fails
+  /// @brief Starts a program with its output in aLog and its errors in aLog.err.
+  /// @param aEnvironment variables in addition to the inherited ones
+  /// @throws std::runtime_error if the start fails
   Child(const std::vector<std::string>& aCommand,
         const std::filesystem::path& aLog,
-        const std::string& aDisabledMechanism);
+        const std::map<std::string, std::string>& aEnvironment = {});
   ~Child();
   Child(const Child&) = delete;
   Child& operator=(const Child&) = delete;
--- a/tests/scenarios/runner/fleet.cpp
+++ b/tests/scenarios/runner/fleet.cpp
@@ -204,7 +204,7 @@
   static unsigned count = 0;
   const std::string log = aName + "." + std::to_string(++count) + ".log";
   started.mChild = std::make_unique<Child>(
-    commandLineOf(aName, started, aIsCold), mSettings.mLogs / log, mSettings.mDisabledMechanism);
+    commandLineOf(aName, started, aIsCold), mSettings.mLogs / log, mSettings.environment());
   recordRunState(aName, "up");
 }
 
@@ -323,8 +323,7 @@
                               "--grace_seconds=" + std::to_string(kCallerGraceSeconds),
                               "--seed=" + std::to_string(mSettings.mSeed + number),
                               aSynData ? "--syn_data" : "--nosyn_data" },
-    mSettings.mLogs / (name + ".log"),
-    ""));
+    mSettings.mLogs / (name + ".log")));
 }
 
 bool Fleet::waitForCallers(std::chrono::milliseconds aTimeout)
--- a/tests/scenarios/runner/platform.cpp
+++ b/tests/scenarios/runner/platform.cpp
@@ -37,15 +37,13 @@
     std::make_unique<Child>(std::vector<std::string>{ mSettings.program("fake-config-service"),
                                                       "--listen=" + configEndpoint(0).toString(),
                                                       "--readers=" + std::to_string(kReaderCount) },
-                            mSettings.mLogs / "config.log",
-                            "");
+                            mSettings.mLogs / "config.log");
   mFabric =
     std::make_unique<Child>(std::vector<std::string>{ mSettings.program("fake-fabric"),
                                                       "--listen=" + fabricEndpoint().toString(),
                                                       "--control",
                                                       "--seed=" + std::to_string(mSettings.mSeed) },
-                            mSettings.mLogs / "fabric.log",
-                            "");
+                            mSettings.mLogs / "fabric.log");
   waitUntil("the configuration service replies", kStartTimeout, [this] {
     return sendHttpRequest("GET", configEndpoint(0), "/v1/documents?after=0&wait=0").has_value();
   });
--- a/tests/scenarios/runner/run_settings.hpp
+++ b/tests/scenarios/runner/run_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <map>
 #include <string>
 
 namespace cornelcross::scenarios {
@@ -23,6 +24,15 @@
     return mDisabledMechanism.empty() ? mPrograms / ("cornelcross-" + aName)
                                       : mPrograms / "tests" / ("faulty-" + aName);
   }
+
+  /// @brief Variables that the programs get in addition to the inherited ones.
+  std::map<std::string, std::string> environment() const
+  {
+    if (mDisabledMechanism.empty()) {
+      return {};
+    }
+    return { { "CORNELCROSS_TEST_FAULT", mDisabledMechanism } };
+  }
 };
 
 } // namespace cornelcross::scenarios
--- /dev/null
+++ b/tests/soak/upstream.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "flow/flow_key.hpp"
+#include "net/udp_socket.hpp"
+#include "soak/observations.hpp"
+
+#include <gio/gio.h>
+#include <memory>
+#include <random>
+
+namespace cornelcross::soak {
+
+/// @brief Identity of one start of an upstream.
+struct UpstreamStart
+{
+  std::string mId;
+  std::string mService;
+  std::uint64_t mStartedAtMs = 0;
+  flow::Endpoint mAddress;  ///< receives packets over UDP and accepts TCP connections
+  flow::Endpoint mOutbound; ///< takes the packets that the upstream sends
+
+  auto operator<=>(const UpstreamStart&) const = default;
+};
+
+/// @brief Stand-in for an upstream: holds flows, answers requests, and returns packets of flows
+/// that it does not hold. Its end, the destructor, discards its flows.
+class Upstream
+{
+public:
+  /// @throws std::runtime_error if the address cannot be bound
+  Upstream(UpstreamStart aStart, Observations& aObservations, std::uint64_t aSeed);
+  ~Upstream();
+  Upstream(const Upstream&) = delete;
+  Upstream& operator=(const Upstream&) = delete;
+
+  const UpstreamStart& start() const { return mStart; }
+
+private:
+  struct Connection
+  {
+    std::uint32_t mInitialSequence = 0; ///< of the caller
+    std::uint32_t mCallerNext = 0;
+    std::uint32_t mOwnInitial = 0;
+    std::uint32_t mOwnNext = 0;
+    std::string mLastResponse;
+    bool mIsOpen = false; ///< the caller acknowledged this upstream's SYN
+  };
+
+  void listen();
+  void onPacket(std::span<const std::byte> aBytes);
+  void onSyn(const flow::TcpPacket& aPacket);
+  void onSegment(Connection& aConnection,
+                 const flow::TcpPacket& aPacket,
+                 const std::string& aPayload);
+  std::string respond(const std::string& aRequest);
+  void send(const flow::FlowKey& aFlow,
+            const Connection& aConnection,
+            std::uint8_t aFlags,
+            std::uint32_t aSequence,
+            const std::string& aPayload);
+
+  UpstreamStart mStart;
+  Observations& mObservations;
+  std::mt19937_64 mRandom;
+  net::UdpSocket mSocket;
+  GSocketService* mService;
+  std::map<flow::FlowKey, Connection> mConnections;
+};
+
+} // namespace cornelcross::soak
