Send no opening packet to an endpoint whose upstream has ended

Callers got answers of another service, or none: an agent that outlives its upstream still serves it by a configuration that lists it for up to three heartbeats, longer while the store is down, and whichever process answers at the endpoint gets the opening packets. After two seconds that may be an upstream of another service. An agent whose settings name another service while it runs does the same until the configuration follows.

Cause: the configuration states which upstream has the endpoint, and its statement was taken for what runs there.

An agent now holds a TCP connection to its upstream where the settings state after which time an address is used again. If the endpoint refuses connections for that long, the listed start has ended. New flows and retransmitted SYNs then go to the next candidate, until the configuration lists another start, or still lists this one when its record would have expired with the store available all the while. An open connection is checked before packets are handled after a pause. It depends on no clock of another VM and on no order of documents. One idle connection an agent is the cost.

--- a/src/agent/actions.hpp
+++ b/src/agent/actions.hpp
@@ -68,6 +68,15 @@
   auto operator<=>(const ConnectToUpstream&) const = default;
 };
 
+/// @brief Connects to the upstream over TCP and holds the connection. The outcome is passed to
+/// FlowManager::onWatchAttempt().
+struct WatchUpstream
+{
+  flow::Endpoint mTo;
+
+  auto operator<=>(const WatchUpstream&) const = default;
+};
+
 /// @brief Drops the packet.
 struct DropPacket
 {
@@ -82,7 +91,8 @@
                             SendMessage,
                             DropPacket,
                             telemetry::Event,
-                            ConnectToUpstream>;
+                            ConnectToUpstream,
+                            WatchUpstream>;
 
 /// @brief Operations in the order in which Runtime performs them.
 using Actions = std::vector<Action>;
--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "admission/admission_settings.hpp"
 #include "agent/keep_alive_settings.hpp"
+#include "agent/upstream_watch.hpp"
 #include "base/time.hpp"
 #include "flow/endpoint.hpp"
 
@@ -18,7 +19,8 @@
   /// Endpoint of the upstream beside this agent; empty if unknown.
   std::optional<flow::Endpoint> mUpstreamAddress = {};
   bool mUpstreamAcceptsTcp = false; ///< a running upstream accepts TCP connections at its endpoint
-  std::uint16_t mMaxSegmentBytes = 1380; ///< upper bound for the MSS option
+  UpstreamWatchSettings mUpstreamWatch = {}; ///< requires mUpstreamAcceptsTcp
+  std::uint16_t mMaxSegmentBytes = 1380;     ///< upper bound for the MSS option
   admission::AdmissionSettings mAdmission = {};
   /// Time after its start in which an agent's records may lack flows of its upstream.
   base::Duration mRecoveryWindow = std::chrono::hours(12);
--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -53,6 +53,7 @@
       [this](base::Time aNow, const flow::FlowKey& aFlow) { return ownershipOf(aNow, aFlow); },
       static_cast<std::uint32_t>(mSettings.mStartedAtMs))
   , mReturnablePackets(kMaxReturnablePackets)
+  , mUpstreamWatch(aSettings.mUpstreamWatch)
   , mKeepAliveProber(aSettings.mKeepAlive)
   , mEvidence(aSettings.mRecoveryWindow, aSettings.mUpstreamAddress, aSettings.mUpstreamAcceptsTcp)
 {
@@ -91,6 +92,12 @@
   if (previous != mUpstream) {
     actions.emplace_back(assignmentEvent());
   }
+  const bool isListed = mUpstream && mUpstream->mState != config::UpstreamState::kRemoved;
+  mUpstreamWatch.list(
+    aNow,
+    isListed ? std::optional(ListedStart{ mUpstream->mIdentity, mUpstream->mStartedAtMs })
+             : std::nullopt);
+  append(actions, presenceEvents(aNow));
   return actions;
 }
 
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -74,6 +74,16 @@
                               flow::Endpoint aEndpoint,
                               flow::ConnectionOutcome aOutcome);
 
+  /// @brief Applies whether the connection to the upstream is open, and when the configuration
+  /// service last responded to any process. Called about every 100 ms, and before a packet if that
+  /// is longer ago.
+  Actions onUpstreamChecked(base::Time aNow,
+                            bool aIsConnected,
+                            std::optional<base::Time> aServiceRespondedAt);
+
+  /// @brief Handles the outcome of an attempt to connect to the upstream and hold the connection.
+  Actions onWatchAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome);
+
   /// @brief Handles an IP packet that the upstream sent to a caller or returned.
   Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
 
@@ -141,6 +151,11 @@
 
 private:
   Actions onSyn(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
+  Actions onSynAfterEnd(base::Time aNow,
+                        const flow::TcpPacket& aPacket,
+                        wire::Forward aForward,
+                        const FlowRecord& aRecord);
+  Actions presenceEvents(base::Time aNow);
   Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onUnrecordedSegment(base::Time aNow,
                               const flow::TcpPacket& aPacket,
@@ -259,6 +274,8 @@
   UpstreamHealth mUpstreamHealth;
   FlapDetector mFlapDetector;      ///< unused unless AdmissionSettings::mBalancesBySpeed is on
   bool mIsFailingReported = false; ///< an event told that the upstream fails
+  UpstreamWatch mUpstreamWatch;
+  bool mIsEndReported = false; ///< an event stated that the upstream has ended
   KeepAliveProber mKeepAliveProber;
   OwnershipEvidence mEvidence;
   bool mIsEvidenceNeeded = false; ///< another agent asked about a flow that this agent cannot deny
--- a/src/agent/new_flows.cpp
+++ b/src/agent/new_flows.cpp
@@ -22,6 +22,9 @@
   if (record == nullptr) {
     return onNewFlow(aNow, aPacket, std::move(aForward));
   }
+  if (mUpstreamWatch.hasEnded(aNow)) {
+    return onSynAfterEnd(aNow, aPacket, std::move(aForward), *record);
+  }
   const bool isReuse = record->mCallerInitialSequence != aPacket.mSequence;
   if (isReuse && record->mState == FlowState::kClosing) {
     const telemetry::Event closed =
--- a/src/agent/runtime.cpp
+++ b/src/agent/runtime.cpp
@@ -39,6 +39,7 @@
   , mGracefulStop(std::chrono::seconds(aSettings.mDrainSeconds))
   , mSocket(aSettings.mListen, mHooks.maxDatagramBytes())
   , mConnectionAttempt(kConnectionTimeout)
+  , mWatchConnection(kConnectionTimeout, true)
   , mAgentMetrics(mMetrics, mFlowManager)
   , mConfigMetrics(mMetrics)
   , mRecentRefusals(kMaxRecentRefusals)
@@ -132,8 +133,17 @@
                  { "flows", std::to_string(mFlowManager.flows().size()) } } });
 }
 
+void Runtime::checkUpstream(base::Time aNow)
+{
+  mLastUpstreamCheck = aNow;
+  const auto age = mMembership.serviceAge(aNow);
+  const auto respondedAt = age ? std::optional(aNow - *age) : std::nullopt;
+  perform(mFlowManager.onUpstreamChecked(aNow, mWatchConnection.isConnected(), respondedAt));
+}
+
 void Runtime::onProbeTimer()
 {
+  checkUpstream(net::MainLoop::now());
   perform(mFlowManager.onProbeTimer(net::MainLoop::now()));
   mSocket.flush();
   if (mGracefulStop.isDue(net::MainLoop::now(), mFlowManager.admission().activeRequests() > 0)) {
@@ -238,6 +248,9 @@
   const base::Time now = net::MainLoop::now();
   if (mMembership.mayForward()) {
     mHasForwarded = true;
+    if (now - mLastUpstreamCheck > 2 * kProbeTimerInterval) {
+      checkUpstream(now);
+    }
     perform(mFlowManager.onForward(now, aRevision, std::move(aForward)));
     scheduleQueue();
     scheduleLookups();
@@ -305,6 +318,13 @@
   });
 }
 
+void Runtime::perform(const WatchUpstream& aAction)
+{
+  mWatchConnection.start(aAction.mTo, [this](flow::ConnectionOutcome aOutcome) {
+    perform(mFlowManager.onWatchAttempt(net::MainLoop::now(), aOutcome));
+  });
+}
+
 nlohmann::json Runtime::status() const
 {
   nlohmann::json status = makeStatus(mSettings.mName, mFlowManager, mRecentRefusals);
--- a/src/agent/runtime.hpp
+++ b/src/agent/runtime.hpp
@@ -62,6 +62,8 @@
   void perform(const DropPacket& aAction);
   void perform(const telemetry::Event& aEvent);
   void perform(const ConnectToUpstream& aAction);
+  void perform(const WatchUpstream& aAction);
+  void checkUpstream(base::Time aNow);
   void onConfiguration(config::ConfigurationPtr aConfiguration);
   nlohmann::json status() const;
 
@@ -78,6 +80,8 @@
   net::UdpSocket mSocket;
   std::unique_ptr<net::UdpSocket> mUpstreamSocket; ///< empty unless mUpstreamListen is set
   net::ConnectionAttempt mConnectionAttempt;
+  net::ConnectionAttempt mWatchConnection;
+  base::Time mLastUpstreamCheck;
   AgentMetrics mAgentMetrics;
   telemetry::ConfigMetrics mConfigMetrics;
   telemetry::RecentEvents mRecentRefusals;
--- a/src/agent/uneven_upstream.cpp
+++ b/src/agent/uneven_upstream.cpp
@@ -2,12 +2,13 @@
 
 #include <utility>
 
-// Members of FlowManager that handle an upstream that fails or flaps.
+// Members of FlowManager that handle an upstream that fails, flaps or has ended.
 namespace cornelcross::agent {
 
 bool FlowManager::upstreamAcceptsNewFlows(base::Time aNow) const
 {
-  return mUpstreamHealth.acceptsNewFlows(aNow) && mFlapDetector.acceptsNewFlows(aNow);
+  return mUpstreamHealth.acceptsNewFlows(aNow) && mFlapDetector.acceptsNewFlows(aNow) &&
+         !mUpstreamWatch.hasEnded(aNow);
 }
 
 void FlowManager::recordUpstreamAccepts(base::Time aNow, Actions& aActions)
--- /dev/null
+++ b/src/agent/upstream_presence.cpp
@@ -0,0 +1,56 @@
+#include "agent/flow_manager.hpp"
+
+#include <utility>
+
+// Members of FlowManager that follow which process runs beside the agent.
+namespace cornelcross::agent {
+
+Actions FlowManager::onUpstreamChecked(base::Time aNow,
+                                       bool aIsConnected,
+                                       std::optional<base::Time> aServiceRespondedAt)
+{
+  mUpstreamWatch.onConnectionChecked(aNow, aIsConnected);
+  if (aServiceRespondedAt) {
+    mUpstreamWatch.onServiceResponse(aNow, *aServiceRespondedAt);
+  }
+  Actions actions = presenceEvents(aNow);
+  if (mSettings.mUpstreamAddress && mUpstreamWatch.startAttempt(aNow)) {
+    actions.emplace_back(WatchUpstream{ *mSettings.mUpstreamAddress });
+  }
+  return actions;
+}
+
+Actions FlowManager::onWatchAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome)
+{
+  mUpstreamWatch.onAttempt(aNow, aOutcome);
+  return presenceEvents(aNow);
+}
+
+Actions FlowManager::presenceEvents(base::Time aNow)
+{
+  const bool hasEnded = mUpstreamWatch.hasEnded(aNow);
+  if (!mUpstream || hasEnded == std::exchange(mIsEndReported, hasEnded)) {
+    return {};
+  }
+  return { telemetry::Event{ telemetry::EventKind::kUpstreamEnded,
+                             { { "upstream", mUpstream->mName },
+                               { "started_at_ms", std::to_string(mUpstream->mStartedAtMs) },
+                               { "ended", hasEnded ? "yes" : "no" },
+                               { "revision", std::to_string(revision()) } } } };
+}
+
+// A record of a flow at an upstream that has ended proves nothing, and the process that answers at
+// its endpoint may serve another service.
+Actions FlowManager::onSynAfterEnd(base::Time aNow,
+                                   const flow::TcpPacket& aPacket,
+                                   wire::Forward aForward,
+                                   const FlowRecord& aRecord)
+{
+  const flow::FlowKey key = aPacket.keyFromCaller();
+  Actions actions{ closeFlow(aNow, key, aRecord, "upstream_ended") };
+  mFlows.erase(key);
+  append(actions, onNewFlow(aNow, aPacket, std::move(aForward)));
+  return actions;
+}
+
+} // namespace cornelcross::agent
--- a/src/membership/runtime.hpp
+++ b/src/membership/runtime.hpp
@@ -69,6 +69,10 @@
   /// @brief Returns the store of the accepted documents.
   const config::DocumentStore& store() const { return mStore; }
 
+  /// @brief Age of the newest response of the configuration service to any process, as far as
+  /// this process knows; empty before the first.
+  std::optional<base::Duration> serviceAge(base::Time aNow) const { return mSync.serviceAge(aNow); }
+
   /// @brief Returns the state of the membership for the status page.
   nlohmann::json status() const;
 
--- a/src/net/connection_attempt.cpp
+++ b/src/net/connection_attempt.cpp
@@ -4,10 +4,18 @@
 
 struct ConnectionAttempt::Attempt
 {
-  explicit Attempt(base::Duration aDeadline) : mDeadline(aDeadline) {}
+  Attempt(base::Duration aDeadline, bool aHoldsConnection)
+    : mDeadline(aDeadline), mHoldsConnection(aHoldsConnection)
+  {
+  }
+  ~Attempt() { g_clear_object(&mConnection); }
+  Attempt(const Attempt&) = delete;
+  Attempt& operator=(const Attempt&) = delete;
 
   Listener mListener;
   Deadline mDeadline;
+  bool mHoldsConnection;
+  GSocketConnection* mConnection = nullptr; ///< empty unless an accepted connection is held
 };
 
 ConnectionAttempt::~ConnectionAttempt()
@@ -23,10 +31,22 @@
   }
 }
 
+// The socket is checked instead of a callback awaited, so that the result is current also after a
+// pause of the process.
+bool ConnectionAttempt::isConnected() const
+{
+  if (!mAttempt || mAttempt->mConnection == nullptr) {
+    return false;
+  }
+  GSocket* socket = g_socket_connection_get_socket(mAttempt->mConnection);
+  const auto closing = static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR);
+  return g_socket_condition_check(socket, closing) == 0;
+}
+
 void ConnectionAttempt::start(flow::Endpoint aPeer, Listener aListener)
 {
   cancel();
-  mAttempt = std::make_shared<Attempt>(mDeadline);
+  mAttempt = std::make_shared<Attempt>(mDeadline, mHoldsConnection);
   mAttempt->mListener = std::move(aListener);
   GSocketClient* client = g_socket_client_new();
   g_socket_client_set_enable_proxy(client, FALSE);
@@ -54,7 +74,11 @@
   const auto outcome = connection != nullptr ? flow::ConnectionOutcome::kAccepted
                        : isRefused           ? flow::ConnectionOutcome::kRefused
                                              : flow::ConnectionOutcome::kFailed;
-  g_clear_object(&connection);
+  if (attempt->mHoldsConnection) {
+    attempt->mConnection = connection;
+  } else {
+    g_clear_object(&connection);
+  }
   g_clear_error(&error);
   const Listener listener = std::move(attempt->mListener);
   attempt->mListener = nullptr;
--- a/src/net/connection_attempt.hpp
+++ b/src/net/connection_attempt.hpp
@@ -9,16 +9,20 @@
 
 namespace cornelcross::net {
 
-/// @brief Tries to connect over TCP, one attempt at a time, and closes an accepted connection at
-/// once.
+/// @brief Tries to connect over TCP, one attempt at a time.
 class ConnectionAttempt
 {
 public:
   /// @brief Called once with the outcome of each attempt that is not cancelled.
   using Listener = std::function<void(flow::ConnectionOutcome)>;
 
-  /// @param aDeadline time for an attempt; whole milliseconds
-  explicit ConnectionAttempt(base::Duration aDeadline) : mDeadline(aDeadline) {}
+  /// @param aDeadline        time for an attempt; whole milliseconds
+  /// @param aHoldsConnection true to hold an accepted connection until the next attempt, false to
+  /// close it at once
+  explicit ConnectionAttempt(base::Duration aDeadline, bool aHoldsConnection = false)
+    : mDeadline(aDeadline), mHoldsConnection(aHoldsConnection)
+  {
+  }
   ~ConnectionAttempt();
   ConnectionAttempt(const ConnectionAttempt&) = delete;
   ConnectionAttempt& operator=(const ConnectionAttempt&) = delete;
@@ -29,12 +33,16 @@
   /// @brief Cancels the attempt in progress, if any, without a call of its listener.
   void cancel();
 
+  /// @brief True if a connection is held and the peer has neither closed it nor sent anything.
+  bool isConnected() const;
+
 private:
   struct Attempt;
 
   static void onConnected(GObject* aClient, GAsyncResult* aResult, gpointer aAttempt);
 
   base::Duration mDeadline;
+  bool mHoldsConnection;
   std::shared_ptr<Attempt> mAttempt;
 };
 
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -63,6 +63,8 @@
       return "owner_not_found";
     case EventKind::kUpstreamUneven:
       return "upstream_uneven";
+    case EventKind::kUpstreamEnded:
+      return "upstream_ended";
   }
   return "unknown";
 }
--- a/src/telemetry/event.hpp
+++ b/src/telemetry/event.hpp
@@ -39,6 +39,7 @@
   kHedgingSuppressed,
   kOwnerNotFound,
   kUpstreamUneven,
+  kUpstreamEnded,
 };
 
 /// @brief Name of the event in a log line.
--- /dev/null
+++ b/tests/unit/test_upstream_presence.cpp
@@ -0,0 +1,108 @@
+#include "agent/flow_manager.hpp"
+#include "unit/support/actions.hpp"
+#include "unit/support/configuration.hpp"
+#include "unit/support/packets.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace cornelcross::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Agent that has lost the connection to its upstream, whose VM refuses further ones. The
+/// configuration still lists the upstream.
+struct EndedUpstream
+{
+  EndedUpstream()
+  {
+    mAgent.apply(mNow, share(makeConfiguration(3)));
+    mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kAccepted);
+    mAgent.onUpstreamChecked(mNow, true, std::nullopt);
+  }
+
+  agent::Actions open(std::uint16_t aPort)
+  {
+    wire::Forward forward;
+    forward.mIngress = *flow::Endpoint::parse("127.0.1.1:7000");
+    forward.mService = config::upstreamIdentity("logbook", "");
+    forward.mIsLastPage = true;
+    forward.mCandidates = { agentOf(0), agentOf(1), agentOf(2) };
+    const flow::Endpoint caller{ { 0x0A010101 }, aPort };
+    forward.mPacket = makePacket({ caller, kServiceAddress, flow::kSyn, 1000, 0, 0 });
+    return mAgent.onForward(mNow, mAgent.revision(), forward);
+  }
+
+  agent::Actions end()
+  {
+    mAgent.onUpstreamChecked(mNow, false, std::nullopt);
+    mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kRefused);
+    mNow += 2s;
+    return mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kAccepted);
+  }
+
+  base::Time mNow{ 100s };
+  agent::FlowManager mAgent{ { .mSelf = agentOf(0),
+                               .mService = "logbook",
+                               .mUpstreamAddress = flow::Endpoint{ agentOf(0).mAddress, 7001 },
+                               .mUpstreamAcceptsTcp = true,
+                               .mUpstreamWatch = { 2s, 3600ms, 5s, 2500ms },
+                               .mRecoveryWindow = {} } };
+};
+
+} // namespace
+
+// Guards against requests that another service runs: an agent outlives its upstream, and an
+// upstream of another service answers at the endpoint before the configuration says so.
+BOOST_FIXTURE_TEST_SUITE(upstream_presence, EndedUpstream)
+
+BOOST_AUTO_TEST_CASE(a_new_flow_goes_to_the_next_candidate_once_the_upstream_has_ended)
+{
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40000)) != nullptr);
+  end();
+  const auto actions = open(40001);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(actions) == nullptr);
+  const auto* forwarded = findAction<agent::SendMessage>(actions);
+  BOOST_REQUIRE(forwarded != nullptr);
+  BOOST_TEST(forwarded->mTo.toString() == agentOf(1).toString());
+}
+
+BOOST_AUTO_TEST_CASE(a_retransmitted_syn_goes_to_the_next_candidate_once_the_upstream_has_ended)
+{
+  open(40000);
+  end();
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40000)) == nullptr);
+  BOOST_TEST(mAgent.flows().size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(another_start_in_the_configuration_is_served)
+{
+  end();
+  config::Configuration configuration = makeConfiguration(3, 2);
+  config::Service& service = configuration.mServices.at("logbook");
+  config::UpstreamList upstreams;
+  for (config::Upstream upstream : service.mUpstreams) {
+    upstream.mStartedAtMs = 5000;
+    upstreams.push_back(upstream);
+  }
+  service.mUpstreams = upstreams;
+  mAgent.apply(mNow, share(configuration));
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(the_end_is_logged_once)
+{
+  const auto actions = end();
+  const auto* event = findAction<telemetry::Event>(actions);
+  BOOST_REQUIRE(event != nullptr);
+  const telemetry::Event expected{ telemetry::EventKind::kUpstreamEnded,
+                                   { { "upstream", "logbook-1" },
+                                     { "started_at_ms", "0" },
+                                     { "ended", "yes" },
+                                     { "revision", "1" } } };
+  BOOST_TEST((*event == expected));
+  BOOST_TEST(findAction<telemetry::Event>(mAgent.onUpstreamChecked(mNow, true, {})) == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/test_upstream_watch.cpp
@@ -0,0 +1,141 @@
+#include "agent/upstream_watch.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornelcross;
+using namespace std::chrono_literals;
+
+namespace {
+
+using flow::ConnectionOutcome;
+
+const agent::ListedStart kStart{ 7, 1000 };
+const agent::ListedStart kNextStart{ 7, 5000 };
+
+/// Watch of a listed upstream whose connection is open.
+struct Fixture
+{
+  Fixture()
+  {
+    mWatch.list(mNow, kStart);
+    mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  }
+
+  /// Checks a closed connection and tries to connect, every 100 ms.
+  void pass(base::Duration aTime, ConnectionOutcome aOutcome)
+  {
+    for (const base::Time end = mNow + aTime; mNow < end; mNow += 100ms) {
+      mWatch.onConnectionChecked(mNow, false);
+      mWatch.onAttempt(mNow, aOutcome);
+    }
+  }
+
+  base::Time mNow{ 100s };
+  agent::UpstreamWatch mWatch{ { 2s, 3600ms, 5s, 2500ms } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(upstream_watch, Fixture)
+
+// Guards against opening packets for an upstream that has ended, at whose endpoint another service
+// answers.
+BOOST_AUTO_TEST_CASE(an_upstream_has_ended_if_its_endpoint_refuses_for_the_reuse_delay)
+{
+  pass(1900ms, ConnectionOutcome::kRefused);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+  pass(300ms, ConnectionOutcome::kRefused);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+  mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+}
+
+// Guards against the loss of an upstream that restarts quickly.
+BOOST_AUTO_TEST_CASE(an_upstream_that_accepts_again_within_the_reuse_delay_has_not_ended)
+{
+  pass(1800ms, ConnectionOutcome::kRefused);
+  mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  pass(1800ms, ConnectionOutcome::kRefused);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+}
+
+// Guards against the loss of a busy upstream, and of one that closes idle connections.
+BOOST_AUTO_TEST_CASE(attempts_that_fail_without_a_refusal_prove_nothing)
+{
+  pass(10s, ConnectionOutcome::kFailed);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+}
+
+// Guards against opening packets after a pause of the agent, in which the endpoint went to another
+// service.
+BOOST_AUTO_TEST_CASE(a_pause_of_the_agent_does_not_extend_the_life_of_the_upstream)
+{
+  mNow += 3s;
+  mWatch.onConnectionChecked(mNow, false);
+  mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+}
+
+BOOST_AUTO_TEST_CASE(another_listed_start_is_watched_anew)
+{
+  pass(3s, ConnectionOutcome::kRefused);
+  mWatch.list(mNow, kStart);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+  mWatch.list(mNow, kNextStart);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+  BOOST_TEST(mWatch.startAttempt(mNow + 1s));
+  mWatch.onAttempt(mNow + 1s, ConnectionOutcome::kAccepted);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+}
+
+// Guards against an upstream that is never used again after an interruption.
+BOOST_AUTO_TEST_CASE(a_start_that_stays_listed_beyond_the_expiry_of_its_record_runs)
+{
+  pass(2200ms, ConnectionOutcome::kRefused);
+  BOOST_REQUIRE(mWatch.hasEnded(mNow));
+  const auto respondsFor = [this](base::Duration aTime) {
+    for (const base::Time end = mNow + aTime; mNow < end; mNow += 1s) {
+      mWatch.onServiceResponse(mNow, mNow);
+    }
+  };
+  respondsFor(8s);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+  respondsFor(3s);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+}
+
+// Guards against a configuration that is not updated: it lists the start although its record has
+// expired.
+BOOST_AUTO_TEST_CASE(a_listing_proves_nothing_unless_the_service_responds_all_the_while)
+{
+  pass(2200ms, ConnectionOutcome::kRefused);
+  const base::Time respondedAt = mNow + 2s;
+  for (const base::Time end = mNow + 60s; mNow < end; mNow += 100ms) {
+    mWatch.onServiceResponse(mNow, respondedAt);
+  }
+  mWatch.onServiceResponse(mNow, mNow);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+}
+
+// Guards against opening packets of an agent that started after its upstream had ended.
+BOOST_AUTO_TEST_CASE(a_start_that_refuses_before_it_was_seen_running_has_ended)
+{
+  mWatch.list(mNow, kNextStart);
+  mWatch.onConnectionChecked(mNow, false);
+  mWatch.onAttempt(mNow, ConnectionOutcome::kRefused);
+  mWatch.onAttempt(mNow + 100ms, ConnectionOutcome::kAccepted);
+  BOOST_TEST(mWatch.hasEnded(mNow + 100ms));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_watched_without_a_reuse_delay_or_a_listed_start)
+{
+  agent::UpstreamWatch disabled({});
+  disabled.list(mNow, kStart);
+  BOOST_TEST(!disabled.startAttempt(mNow));
+  agent::UpstreamWatch unlisted({ 2s, 3600ms, 5s });
+  BOOST_TEST(!unlisted.startAttempt(mNow));
+  unlisted.onAttempt(mNow + 10s, ConnectionOutcome::kRefused);
+  BOOST_TEST(!unlisted.hasEnded(mNow + 10s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
