Apply settings that name another upstream while an agent runs

Callers got answers of another service, and the new upstream got no flows at all: an agent took the service and the endpoint of the upstream beside it from its settings at the start only. A changed file was reported as settings_applied needs_restart=yes and otherwise ignored.

A reload now replaces service and endpoint: the agent closes the flows of the former upstream, drops what it observed of it, and takes its upstream anew from the active configuration. settings_applied states both.

Tests: upstream_assignment, platform_settings; neither compiled before, as there was no way to pass such a change on.

--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -81,6 +81,20 @@
                             bool aIsConnected,
                             std::optional<base::Time> aServiceRespondedAt);
 
+  /// @brief True if the settings state this service and endpoint of the upstream.
+  bool isBeside(const std::string& aService, const std::optional<flow::Endpoint>& aUpstream) const
+  {
+    return mSettings.mService == aService && mSettings.mUpstreamAddress == aUpstream;
+  }
+
+  /// @brief Replaces what the settings state of the upstream, because another one was placed beside
+  /// this agent. Closes the flows of the former one.
+  /// @param aService  its service; may be empty
+  /// @param aUpstream its endpoint; empty if unknown
+  Actions setUpstream(base::Time aNow,
+                      const std::string& aService,
+                      std::optional<flow::Endpoint> aUpstream);
+
   /// @brief Handles the outcome of an attempt to connect to the upstream and hold the connection.
   Actions onWatchAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome);
 
--- a/src/agent/runtime.cpp
+++ b/src/agent/runtime.cpp
@@ -33,7 +33,7 @@
 
 Runtime::Runtime(const RuntimeSettings& aSettings, net::DeploymentHooks aHooks)
   : mSettings(aSettings)
-  , mHooks(std::move(aHooks))
+  , mHooks(applyingReloads(std::move(aHooks)))
   , mLog(aSettings.mName, aSettings.mMaxFlowLogLinesPerSecond)
   , mFlowManager(aSettings.mAgent, mHooks.mPacketFormat)
   , mGracefulStop(std::chrono::seconds(aSettings.mDrainSeconds))
@@ -71,6 +71,32 @@
   net::registerSocketMetrics(mMetrics, mSocket);
 }
 
+// Passes changed settings of the upstream on, before the membership applies the others.
+net::DeploymentHooks Runtime::applyingReloads(net::DeploymentHooks aHooks)
+{
+  if (aHooks.mReloadSettings) {
+    aHooks.mReloadSettings = [this, reload = aHooks.mReloadSettings] {
+      net::SettingsReloadResult result = reload();
+      if (const auto* update = std::get_if<net::SettingsUpdate>(&result)) {
+        applyUpstreamSettings(*update);
+      }
+      return result;
+    };
+  }
+  return aHooks;
+}
+
+void Runtime::applyUpstreamSettings(const net::SettingsUpdate& aUpdate)
+{
+  const base::Time now = net::MainLoop::now();
+  if (mFlowManager.isBeside(aUpdate.mService, aUpdate.mUpstream)) {
+    return;
+  }
+  mWatchConnection.cancel();
+  perform(mFlowManager.setUpstream(now, aUpdate.mService, aUpdate.mUpstream));
+  mSocket.flush();
+}
+
 void Runtime::onConfiguration(config::ConfigurationPtr aConfiguration)
 {
   mConfigMetrics.update(*aConfiguration);
--- a/src/agent/runtime.hpp
+++ b/src/agent/runtime.hpp
@@ -64,6 +64,8 @@
   void perform(const ConnectToUpstream& aAction);
   void perform(const WatchUpstream& aAction);
   void checkUpstream(base::Time aNow);
+  net::DeploymentHooks applyingReloads(net::DeploymentHooks aHooks);
+  void applyUpstreamSettings(const net::SettingsUpdate& aUpdate);
   void onConfiguration(config::ConfigurationPtr aConfiguration);
   nlohmann::json status() const;
 
--- a/src/agent/upstream_presence.cpp
+++ b/src/agent/upstream_presence.cpp
@@ -5,6 +5,21 @@
 // Members of FlowManager that follow which process runs beside the agent.
 namespace cornelcross::agent {
 
+// Nothing that was observed of the former upstream holds for its successor.
+Actions FlowManager::setUpstream(base::Time aNow,
+                                 const std::string& aService,
+                                 std::optional<flow::Endpoint> aUpstream)
+{
+  Actions actions = closeAllFlows(aNow);
+  mSettings.mService = aService;
+  mSettings.mUpstreamAddress = aUpstream;
+  mEvidence =
+    OwnershipEvidence(mSettings.mRecoveryWindow, aUpstream, mSettings.mUpstreamAcceptsTcp);
+  mUpstreamWatch = UpstreamWatch(mSettings.mUpstreamWatch);
+  append(actions, apply(aNow, mConfiguration));
+  return actions;
+}
+
 Actions FlowManager::onUpstreamChecked(base::Time aNow,
                                        bool aIsConnected,
                                        std::optional<base::Time> aServiceRespondedAt)
--- a/src/membership/runtime.cpp
+++ b/src/membership/runtime.cpp
@@ -107,9 +107,14 @@
     mLog.write({ EventKind::kSettingsRejected, { { "error", error->mReason } } });
   } else if (const auto* update = std::get_if<net::SettingsUpdate>(&result)) {
     mSync.setSeeds(update->mSeeds);
-    mLog.write({ EventKind::kSettingsApplied,
-                 { { "peers", std::to_string(update->mSeeds.size()) },
-                   { "needs_restart", update->mNeedsRestart ? "yes" : "no" } } });
+    telemetry::Event event{ EventKind::kSettingsApplied,
+                            { { "peers", std::to_string(update->mSeeds.size()) },
+                              { "needs_restart", update->mNeedsRestart ? "yes" : "no" } } };
+    if (update->mUpstream) {
+      event.mFields.emplace_back("service", update->mService);
+      event.mFields.emplace_back("upstream", update->mUpstream->toString());
+    }
+    mLog.write(event);
   }
 }
 
--- a/src/net/connection_attempt.cpp
+++ b/src/net/connection_attempt.cpp
@@ -28,6 +28,7 @@
   if (mAttempt) {
     mAttempt->mListener = nullptr;
     mAttempt->mDeadline.cancel();
+    mAttempt.reset();
   }
 }
 
--- a/src/net/connection_attempt.hpp
+++ b/src/net/connection_attempt.hpp
@@ -30,7 +30,8 @@
   /// @brief Starts an attempt and cancels one in progress.
   void start(flow::Endpoint aPeer, Listener aListener);
 
-  /// @brief Cancels the attempt in progress, if any, without a call of its listener.
+  /// @brief Cancels the attempt in progress, if any, without a call of its listener, and closes a
+  /// held connection.
   void cancel();
 
   /// @brief True if a connection is held and the peer has neither closed it nor sent anything.
--- a/src/net/settings_reload_result.hpp
+++ b/src/net/settings_reload_result.hpp
@@ -2,6 +2,7 @@
 
 #include "flow/endpoint.hpp"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,7 +19,9 @@
 struct SettingsUpdate
 {
   std::vector<flow::Endpoint> mSeeds;
-  bool mNeedsRestart = false; ///< other settings have changed too
+  std::string mService; ///< service of the upstream beside an agent; may be empty
+  std::optional<flow::Endpoint> mUpstream; ///< endpoint of the upstream beside an agent
+  bool mNeedsRestart = false;              ///< other settings have changed too
 
   auto operator<=>(const SettingsUpdate&) const = default;
 };
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -76,6 +76,24 @@
   BOOST_TEST(errorsOf(json).size() == 2U);
 }
 
+// Guards against an agent that serves the former service of its VM until it restarts.
+BOOST_AUTO_TEST_CASE(a_running_agent_takes_up_another_backend)
+{
+  auto json = completeSettings();
+  json["service"] = "log";
+  json["app"] = "10.1.0.12:8165";
+  const auto hooks = platform::deploymentHooks(
+    settingsOf(json), [&json] { return platform::parseHostSettings(json.dump()); });
+  json["service"] = "cert";
+  json["app"] = "10.1.0.12:8166";
+  const auto reloaded = hooks.mReloadSettings();
+  const auto* update = std::get_if<net::SettingsUpdate>(&reloaded);
+  BOOST_REQUIRE(update != nullptr);
+  BOOST_TEST(update->mService == "cert");
+  BOOST_TEST(update->mUpstream->toString() == "10.1.0.12:8166");
+  BOOST_TEST(!update->mNeedsRestart);
+}
+
 BOOST_AUTO_TEST_CASE(a_balancer_needs_no_backend_address)
 {
   auto json = completeSettings();
--- a/tests/unit/test_upstream_assignment.cpp
+++ b/tests/unit/test_upstream_assignment.cpp
@@ -101,6 +101,22 @@
                mAgent.onForward(mNow, mAgent.revision(), opened)) != nullptr);
 }
 
+// Guards against requests that another service runs, and against an upstream without flows: the
+// settings name another service while the agent runs.
+BOOST_AUTO_TEST_CASE(serves_the_upstream_that_changed_settings_state)
+{
+  const flow::Endpoint upstream{ agentOf(0).mAddress, 7001 };
+  BOOST_TEST(!mAgent.isBeside("logbook", upstream));
+  mAgent.setUpstream(mNow, "logbook", upstream);
+  BOOST_TEST(mAgent.isBeside("logbook", upstream));
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(forwardFromCaller(flow::kSyn)) != nullptr);
+  mAgent.setUpstream(mNow, "certdesk", upstream);
+  BOOST_TEST(mAgent.flows().size() == 0U);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(forwardFromCaller(flow::kSyn)) == nullptr);
+  mAgent.apply(mNow, share(makeCurrentConfiguration()));
+  BOOST_TEST(mAgent.upstream()->mName == "certdesk-1");
+}
+
 // Guards against logs that don't tell whether the configuration or the settings were wrong when
 // another service served a flow.
 BOOST_AUTO_TEST_CASE(states_for_which_upstream_it_took_a_flow_and_what_its_settings_state)
