--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -93,6 +93,9 @@
     actions.emplace_back(assignmentEvent());
   }
   const bool isListed = mUpstream && mUpstream->mState != config::UpstreamState::kRemoved;
+  const bool isSameStart = previous && mUpstream && previous->mIdentity == mUpstream->mIdentity &&
+                           previous->mStartedAtMs == mUpstream->mStartedAtMs;
+  mIsEndReported = mIsEndReported && isSameStart;
   mUpstreamWatch.list(
     aNow,
     isListed ? std::optional(ListedStart{ mUpstream->mIdentity, mUpstream->mStartedAtMs })
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -169,6 +169,7 @@
                         const flow::TcpPacket& aPacket,
                         wire::Forward aForward,
                         const FlowRecord& aRecord);
+  bool mayReceiveSyn(base::Time aNow) const;
   Actions presenceEvents(base::Time aNow);
   Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onUnrecordedSegment(base::Time aNow,
--- a/src/agent/new_flows.cpp
+++ b/src/agent/new_flows.cpp
@@ -22,10 +22,10 @@
   if (record == nullptr) {
     return onNewFlow(aNow, aPacket, std::move(aForward));
   }
-  if (mUpstreamWatch.hasEnded(aNow)) {
+  const bool isReuse = record->mCallerInitialSequence != aPacket.mSequence;
+  if (!mayReceiveSyn(aNow)) {
     return onSynAfterEnd(aNow, aPacket, std::move(aForward), *record);
   }
-  const bool isReuse = record->mCallerInitialSequence != aPacket.mSequence;
   if (isReuse && record->mState == FlowState::kClosing) {
     const telemetry::Event closed =
       closeFlow(aNow, aPacket.keyFromCaller(), *record, "port_reused");
--- a/src/agent/upstream_presence.cpp
+++ b/src/agent/upstream_presence.cpp
@@ -54,13 +54,23 @@
                                { "revision", std::to_string(revision()) } } } };
 }
 
-// A record of a flow at an upstream that has ended proves nothing, and the process that answers at
-// its endpoint may serve another service.
+// The process that answers at the endpoint of an upstream that has ended or is no longer listed may
+// serve another service.
+bool FlowManager::mayReceiveSyn(base::Time aNow) const
+{
+  return mUpstream->mState != config::UpstreamState::kRemoved && !mUpstreamWatch.hasEnded(aNow);
+}
+
 Actions FlowManager::onSynAfterEnd(base::Time aNow,
                                    const flow::TcpPacket& aPacket,
                                    wire::Forward aForward,
                                    const FlowRecord& aRecord)
 {
+  if (aRecord.mState != FlowState::kHalfOpen) {
+    const bool isLateCopy = aRecord.mCallerInitialSequence == aPacket.mSequence;
+    return isLateCopy ? Actions{ DropPacket{ DropReason::kNoOwner } }
+                      : mCandidateForwarder.forward(aNow, aPacket, std::move(aForward));
+  }
   const flow::FlowKey key = aPacket.keyFromCaller();
   Actions actions{ closeFlow(aNow, key, aRecord, "upstream_ended") };
   mFlows.erase(key);
--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -1,21 +1,31 @@
 #include "agent/upstream_watch.hpp"
 
+#include <utility>
+
 namespace cornelcross::agent {
 
 namespace {
 
 /// Well below the time until an endpoint is used again.
-constexpr base::Duration kAttemptInterval = std::chrono::milliseconds(100);
+constexpr base::Duration kRetryInterval = std::chrono::milliseconds(100);
+
+/// Bounds the connections to an upstream that accepts and closes them.
+constexpr int kAttemptsPerReuseDelay = 4;
 
 } // namespace
 
-// A record is written by a running upstream, so a start that is listed anew runs.
+// A record is written by a running upstream, so a start that is listed for the first time counts as
+// running. A start that has ended may be listed again by a configuration that is older.
 void UpstreamWatch::list(base::Time aNow, std::optional<ListedStart> aStart)
 {
-  if (aStart != mStart) {
-    mStart = aStart;
-    reset(aNow);
+  if (aStart == mStart) {
+    return;
   }
+  mFormerEndedStart = mHasEnded ? mStart : mFormerEndedStart;
+  mStart = aStart;
+  mIsAttemptOutdated = mIsAttempting;
+  reset(aNow);
+  mHasEnded = aStart && aStart == mFormerEndedStart;
 }
 
 void UpstreamWatch::reset(base::Time aNow)
@@ -27,41 +37,46 @@
   mLastRunningAt = aNow;
 }
 
+// Without an open connection, nothing shows that the process is still the same. A refused start
+// that was not seen running may have ended long before it was listed here.
 bool UpstreamWatch::hasEnded(base::Time aNow) const
 {
-  const bool isDown = mStart && mIsRefused && !mIsOpen;
-  // A start that was not seen running may have ended long before it was listed here.
-  return mHasEnded || (isDown && (!mHasRun || aNow - mLastRunningAt >= mSettings.mReuseDelay));
+  const bool isUnseen = isEnabled() && mStart && !mIsOpen;
+  const bool hasRefused = mIsRefused && !mHasRun;
+  return mHasEnded || (isUnseen && (hasRefused || aNow - mLastRunningAt >= mSettings.mReuseDelay));
 }
 
 void UpstreamWatch::confirmRunning(base::Time aNow)
 {
-  mHasRun = mHasRun || mIsOpen;
+  mHasRun = true;
   mIsRefused = false;
   mLastRunningAt = aNow;
 }
 
-// After a pause of this process, the connection may be closed without any call since, so only an
-// open connection proves that the upstream ran until now.
 void UpstreamWatch::onConnectionChecked(base::Time aNow, bool aIsOpen)
 {
   mHasEnded = hasEnded(aNow);
   mIsOpen = aIsOpen;
+  mHasEnded = hasEnded(aNow);
   if (mIsOpen && !mHasEnded) {
     confirmRunning(aNow);
   }
 }
 
-// A VM refuses connections to an endpoint without a process. An attempt whose deadline passes
-// therefore found a process that is busy.
+// An attempt that fails proves nothing: its deadline may pass while this process does not run.
 void UpstreamWatch::onAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome)
 {
   mIsAttempting = false;
-  const bool mayBeAnother = mStart && aNow - mLastRunningAt >= mSettings.mReuseDelay;
+  const bool isAccepted = aOutcome == flow::ConnectionOutcome::kAccepted;
+  mNextAttemptAt = aNow + (isAccepted ? mSettings.mReuseDelay / kAttemptsPerReuseDelay
+                                      : base::Duration(kRetryInterval));
+  if (std::exchange(mIsAttemptOutdated, false)) {
+    return;
+  }
   mIsRefused = mIsRefused || aOutcome == flow::ConnectionOutcome::kRefused;
-  mHasEnded = hasEnded(aNow) || mayBeAnother;
-  mIsOpen = aOutcome == flow::ConnectionOutcome::kAccepted;
-  if (!mHasEnded && (mIsOpen || !mIsRefused)) {
+  mHasEnded = hasEnded(aNow);
+  mIsOpen = isAccepted;
+  if (mIsOpen && !mHasEnded) {
     confirmRunning(aNow);
   }
 }
@@ -84,11 +99,9 @@
 
 bool UpstreamWatch::startAttempt(base::Time aNow)
 {
-  const bool isWatched = mSettings.mReuseDelay > base::Duration::zero() && mStart;
-  if (!isWatched || mIsOpen || mIsAttempting || aNow - mLastAttemptAt < kAttemptInterval) {
+  if (!isEnabled() || !mStart || mIsOpen || mIsAttempting || aNow < mNextAttemptAt) {
     return false;
   }
-  mLastAttemptAt = aNow;
   mIsAttempting = true;
   return true;
 }
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -69,15 +69,18 @@
 private:
   void reset(base::Time aNow);
   void confirmRunning(base::Time aNow);
+  bool isEnabled() const { return mSettings.mReuseDelay > base::Duration::zero(); }
 
   UpstreamWatchSettings mSettings;
   std::optional<ListedStart> mStart;
+  std::optional<ListedStart> mFormerEndedStart; ///< last start that ended and is no longer listed
   bool mIsOpen = false;
   bool mIsAttempting = false;
-  bool mHasRun = false;    ///< a connection was open since the start was listed
+  bool mIsAttemptOutdated = false; ///< the attempt in progress is for a start listed before
+  bool mHasRun = false;            ///< a connection was open since the start was listed
   bool mIsRefused = false; ///< an attempt was refused since the listed start was last known to run
   base::Time mLastRunningAt; ///< the listed start ran at this time
-  base::Time mLastAttemptAt;
+  base::Time mNextAttemptAt;
   bool mHasEnded = false;
 
   /// Since then the record of the ended start would have expired and the configuration service has
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -94,6 +94,21 @@
   BOOST_TEST(!update->mNeedsRestart);
 }
 
+// Guards against a process that does not start: the bound may be a fraction or empty.
+BOOST_AUTO_TEST_CASE(reads_the_time_until_an_address_is_used_again)
+{
+  auto json = completeSettings();
+  BOOST_TEST(settingsOf(json).mReuseAfterMs == 0U);
+  json["bounds"]["reuseAfterS"] = 1.5;
+  BOOST_TEST(settingsOf(json).mReuseAfterMs == 1500U);
+  BOOST_TEST((platform::agentSettings(settingsOf(json)).mAgent.mUpstreamWatch.mReuseDelay ==
+              std::chrono::milliseconds(1500)));
+  for (const auto& unusable : { nlohmann::json(), nlohmann::json(""), nlohmann::json(-1) }) {
+    json["bounds"]["reuseAfterS"] = unusable;
+    BOOST_TEST(settingsOf(json).mReuseAfterMs == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_balancer_needs_no_backend_address)
 {
   auto json = completeSettings();
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -1,5 +1,6 @@
 #include "soak/faults.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 
@@ -32,11 +33,14 @@
              { "freeze_program", [this] { freezeProgram(); } },
              { "stop_store", [this] { stopStore(); } },
              { "change_configuration", [this] { mFleet.changeConfiguration(); } } };
+  for (const std::string& name : aKinds) {
+    const auto isNamed = [&](const Kind& aKind) { return aKind.mName == name; };
+    if (std::none_of(mKinds.begin(), mKinds.end(), isNamed)) {
+      throw std::invalid_argument("--faults: unknown kind " + name);
+    }
+  }
   std::erase_if(
     mKinds, [&](const Kind& aKind) { return !aKinds.empty() && !aKinds.contains(aKind.mName); });
-  if (mKinds.empty()) {
-    throw std::invalid_argument("--faults: no known kind");
-  }
 }
 
 void Faults::start()
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -274,6 +274,10 @@
 {
   for (const auto& vm : mVms) {
     vm->onTick(aNow);
+    // The program of a new VM fails to bind while that of the former VM still runs.
+    if (vm->takeUnexplainedEnd() && !isAddressInUse(*vm)) {
+      mObservations.addViolation(aNow, "FAULT: the program of " + vm->name() + " ended by itself");
+    }
   }
   updateRecords(aNow);
   for (const auto& callers : mCallers) {
@@ -281,6 +285,13 @@
   }
 }
 
+bool Fleet::isAddressInUse(const Vm& aVm) const
+{
+  return std::any_of(mVms.begin(), mVms.end(), [&](const auto& aOther) {
+    return aOther.get() != &aVm && aOther->address() == aVm.address() && aOther->isRunning();
+  });
+}
+
 void Fleet::updateRecords(base::Time aNow)
 {
   if (mStore == nullptr) {
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -67,7 +67,7 @@
       answered += request.mIsAnswered ? 1U : 0U;
     }
   }
-  return sent == 0 ? 1.0 : static_cast<double>(answered) / static_cast<double>(sent);
+  return sent == 0 ? 0.0 : static_cast<double>(answered) / static_cast<double>(sent);
 }
 
 std::size_t Observations::answered() const
--- a/tests/soak/observations.hpp
+++ b/tests/soak/observations.hpp
@@ -34,7 +34,7 @@
   /// @brief Adds a broken rule.
   void addViolation(base::Time aNow, const std::string& aText);
 
-  /// @brief Share of the requests sent within a time that were answered; 1 if none was sent.
+  /// @brief Share of the requests sent within a time that were answered; 0 if none was sent.
   double servedShare(base::Time aFrom, base::Time aTo) const;
 
   const std::vector<std::string>& violations() const { return mViolations; }
--- a/tests/soak/upstream.cpp
+++ b/tests/soak/upstream.cpp
@@ -14,6 +14,7 @@
   , mRandom(aSeed)
   , mSocket(mStart.mAddress)
   , mService(g_socket_service_new())
+  , mHoldsConnections(mRandom() % 4 != 0)
 {
   mSocket.onDatagram(
     [this](std::span<const std::byte> aBytes, flow::Endpoint) { onPacket(aBytes); });
@@ -25,6 +26,21 @@
   g_socket_service_stop(mService);
   g_socket_listener_close(G_SOCKET_LISTENER(mService));
   g_object_unref(mService);
+  for (GSocketConnection* connection : mHeld) {
+    g_object_unref(connection);
+  }
+}
+
+gboolean Upstream::onConnection(GSocketService*,
+                                GSocketConnection* aConnection,
+                                GObject*,
+                                gpointer aSelf)
+{
+  auto* self = static_cast<Upstream*>(aSelf);
+  if (self->mHoldsConnections) {
+    self->mHeld.push_back(G_SOCKET_CONNECTION(g_object_ref(aConnection)));
+  }
+  return TRUE;
 }
 
 void Upstream::listen()
@@ -43,6 +59,7 @@
     g_object_unref(mService);
     throw std::runtime_error("cannot listen on " + mStart.mAddress.toString());
   }
+  g_signal_connect(mService, "incoming", G_CALLBACK(&Upstream::onConnection), this);
   g_socket_service_start(mService);
 }
 
--- a/tests/soak/upstream.hpp
+++ b/tests/soak/upstream.hpp
@@ -46,6 +46,10 @@
     bool mIsOpen = false; ///< the caller acknowledged this upstream's SYN
   };
 
+  static gboolean onConnection(GSocketService* aService,
+                               GSocketConnection* aConnection,
+                               GObject* aSource,
+                               gpointer aSelf);
   void listen();
   void onPacket(std::span<const std::byte> aBytes);
   void onSyn(const flow::TcpPacket& aPacket);
@@ -64,6 +68,8 @@
   std::mt19937_64 mRandom;
   net::UdpSocket mSocket;
   GSocketService* mService;
+  bool mHoldsConnections; ///< others are closed at once
+  std::vector<GSocketConnection*> mHeld;
   std::map<flow::FlowKey, Connection> mConnections;
 };
 
--- a/tests/soak/vm.cpp
+++ b/tests/soak/vm.cpp
@@ -64,6 +64,7 @@
 {
   const std::string log = mName + "." + std::to_string(++mStarts) + ".log";
   mRestartAt.reset();
+  mIsSignalled = false;
   mProgram = std::make_unique<scenarios::Child>(
     std::vector<std::string>{ mProgramPath, mRole },
     mFolder / log,
@@ -73,6 +74,7 @@
 void Vm::signal(int aSignal)
 {
   if (isRunning()) {
+    mIsSignalled = mIsSignalled || aSignal == SIGTERM || aSignal == SIGKILL;
     mProgram->signal(aSignal);
   }
 }
@@ -82,6 +84,7 @@
   if (!mIsOn || isRunning()) {
     return;
   }
+  mHasUnexplainedEnd = mHasUnexplainedEnd || (!mRestartAt && !mIsSignalled);
   mRestartAt = mRestartAt.value_or(aNow + kRestartDelay);
   if (aNow >= *mRestartAt) {
     start();
--- a/tests/soak/vm.hpp
+++ b/tests/soak/vm.hpp
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace cornelcross::soak {
 
@@ -60,6 +61,9 @@
   /// @brief Restarts the program if it has ended. Called every few milliseconds.
   void onTick(base::Time aNow);
 
+  /// @brief True once for each end of the program that no signal explains.
+  bool takeUnexplainedEnd() { return std::exchange(mHasUnexplainedEnd, false); }
+
   std::unique_ptr<Upstream> mUpstream; ///< empty if there is none or it has ended
 
 private:
@@ -74,6 +78,8 @@
   std::filesystem::path mFolder;
   std::unique_ptr<scenarios::Child> mProgram;
   bool mIsOn = false;
+  bool mIsSignalled = false; ///< the program got a signal that ends it
+  bool mHasUnexplainedEnd = false;
   unsigned mStarts = 0;
   std::optional<base::Time> mRestartAt;
 };
--- a/tests/unit/test_upstream_watch.cpp
+++ b/tests/unit/test_upstream_watch.cpp
@@ -59,11 +59,30 @@
   BOOST_TEST(!mWatch.hasEnded(mNow));
 }
 
-// Guards against the loss of a busy upstream, and of one that closes idle connections.
-BOOST_AUTO_TEST_CASE(attempts_that_fail_without_a_refusal_prove_nothing)
+// Guards against a process that does not run while the deadline of its attempt passes, and takes
+// the timeout for a busy upstream.
+BOOST_AUTO_TEST_CASE(a_failed_attempt_does_not_prove_that_the_upstream_runs)
 {
-  pass(10s, ConnectionOutcome::kFailed);
+  pass(1800ms, ConnectionOutcome::kFailed);
   BOOST_TEST(!mWatch.hasEnded(mNow));
+  pass(400ms, ConnectionOutcome::kFailed);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+}
+
+// Guards against the loss of an upstream that closes idle connections, and against many connections
+// to one that closes each.
+BOOST_AUTO_TEST_CASE(a_closed_connection_is_opened_again_at_a_bounded_rate)
+{
+  int attempts = 0;
+  for (const base::Time end = mNow + 10s; mNow < end; mNow += 100ms) {
+    mWatch.onConnectionChecked(mNow, false);
+    if (mWatch.startAttempt(mNow)) {
+      mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+      ++attempts;
+    }
+  }
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+  BOOST_TEST(attempts == 19);
 }
 
 // Guards against opening packets after a pause of the agent, in which the endpoint went to another
@@ -72,6 +91,7 @@
 {
   mNow += 3s;
   mWatch.onConnectionChecked(mNow, false);
+  BOOST_TEST(mWatch.hasEnded(mNow));
   mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
   BOOST_TEST(mWatch.hasEnded(mNow));
 }
@@ -88,6 +108,26 @@
   BOOST_TEST(!mWatch.hasEnded(mNow));
 }
 
+// Guards against a configuration that lists an ended upstream again after it had removed it.
+BOOST_AUTO_TEST_CASE(an_ended_start_that_is_listed_again_has_ended)
+{
+  pass(3s, ConnectionOutcome::kRefused);
+  mWatch.list(mNow, std::nullopt);
+  mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  mWatch.list(mNow, kStart);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+}
+
+// Guards against the loss of an upstream that restarted, by an attempt that found the former one.
+BOOST_AUTO_TEST_CASE(the_outcome_of_an_attempt_does_not_count_for_a_start_that_is_listed_later)
+{
+  mWatch.onConnectionChecked(mNow, false);
+  BOOST_REQUIRE(mWatch.startAttempt(mNow + 1s));
+  mWatch.list(mNow + 1s, kNextStart);
+  mWatch.onAttempt(mNow + 1s, ConnectionOutcome::kRefused);
+  BOOST_TEST(!mWatch.hasEnded(mNow + 1s));
+}
+
 // Guards against an upstream that is never used again after an interruption.
 BOOST_AUTO_TEST_CASE(a_start_that_stays_listed_beyond_the_expiry_of_its_record_runs)
 {
