Count the agents that a reset treats as gone in its log line

Operators saw: flow_reset states how many agents denied the flow, but not whether others were ruled out by their silence, which is the other way by which an agent stops to keep a flow from being reset.

Cause: the line had only the number of denials.

Change: flow_reset of a lookup has gone=, the number of agents without a denial, and first_gone=.

--- a/src/agent/owner_lookups.cpp
+++ b/src/agent/owner_lookups.cpp
@@ -3,6 +3,7 @@
 #include "flow/run_verdict.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cornelcross::agent {
@@ -34,6 +35,12 @@
 constexpr std::size_t kMaxPacketsPerLookup = 16; // the largest window of a caller
 constexpr std::size_t kMaxWaitingPackets = 1024;
 
+/// The first of some agents, for a log line.
+std::string firstOf(const std::vector<flow::Endpoint>& aAgents)
+{
+  return aAgents.empty() ? std::string("none") : aAgents.front().toString();
+}
+
 } // namespace
 
 OwnerLookups::OwnerLookups(flow::Endpoint aSelf,
@@ -409,17 +416,31 @@
   mLookups.erase(aLookup);
 }
 
+// At a reset, an agent that has not denied the flow counts as gone.
 Action OwnerLookups::makeReset(base::Time aNow,
                                const flow::FlowKey& aFlow,
                                const Lookup& aLookup) const
 {
   const auto elapsed =
     std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aLookup.mStartedAt);
+  std::vector<flow::Endpoint> gone;
+  const auto addGone = [&](const std::vector<flow::Endpoint>& aAgents) {
+    std::copy_if(aAgents.begin(),
+                 aAgents.end(),
+                 std::back_inserter(gone),
+                 [&](flow::Endpoint aAgent) { return !aLookup.mDeniedBy.contains(aAgent); });
+  };
+  for (const routing::ServiceRoutes* routes : services(aFlow)) {
+    addGone(routes->receiverAgents());
+    addGone(routes->agentsOutOfService());
+  }
   return telemetry::Event{ telemetry::EventKind::kFlowReset,
                            { { "flow", aFlow.toString() },
                              { "reason", "denied_by_all" },
                              { "verdict", std::string(toString(flow::RunVerdict::kMayHaveRun)) },
                              { "candidates", std::to_string(aLookup.mDeniedBy.size()) },
+                             { "gone", std::to_string(gone.size()) },
+                             { "first_gone", firstOf(gone) },
                              { "rounds", std::to_string(aLookup.mRounds) },
                              { "lookup_ms", std::to_string(elapsed.count()) },
                              { "revision",
@@ -433,9 +454,6 @@
 {
   const config::Configuration& configuration = mServiceTable.configuration();
   const auto yesOrNo = [](bool aValue) { return std::string(aValue ? "yes" : "no"); };
-  const auto firstOf = [](const std::vector<flow::Endpoint>& aAgents) {
-    return aAgents.empty() ? std::string("none") : aAgents.front().toString();
-  };
   const auto undecided = undecidedAgents(aNow, aFlow, aLookup);
   const auto outOfService = undecidedOutOfService(aNow, aFlow, aLookup);
   const bool hasSameList = aLookup.mListedDigest == routing::listedDigest(services(aFlow));
--- a/tests/unit/support/agent_group.hpp
+++ b/tests/unit/support/agent_group.hpp
@@ -121,6 +121,7 @@
   // What happened so far.
   std::vector<flow::Endpoint> mVisited; ///< agents that got a packet, a lookup of its flow or both
   std::set<flow::FlowKey> mReset;
+  std::vector<telemetry::Event> mResetEvents;         ///< log lines of these resets
   std::map<flow::FlowKey, flow::Endpoint> mDelivered; ///< flows that reached their upstream
   std::size_t mDeliveries = 0;      ///< packets that reached the upstream of their flow
   std::size_t mReturnedPackets = 0; ///< packets that reached another upstream
@@ -196,6 +197,9 @@
         recordPacketToCaller(toCaller->mPacket);
       } else if (const auto* delivery = std::get_if<agent::DeliverToUpstream>(&action)) {
         deliverToUpstream(aAgent, delivery->mPacket);
+      } else if (const auto* event = std::get_if<telemetry::Event>(&action);
+                 event != nullptr && event->mKind == telemetry::EventKind::kFlowReset) {
+        mResetEvents.push_back(*event);
       }
     }
   }
--- a/tests/unit/test_owner_lookups.cpp
+++ b/tests/unit/test_owner_lookups.cpp
@@ -1,5 +1,7 @@
 #include "unit/support/agent_group.hpp"
 
+#include <algorithm>
+
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -45,6 +47,15 @@
   flow::Endpoint mLastRanked = lastRankedAgent(mFlow);
 };
 
+/// Value of a field of a log line; empty if the line lacks it.
+std::string fieldOf(const telemetry::Event& aEvent, std::string_view aName)
+{
+  const auto found = std::find_if(aEvent.mFields.begin(),
+                                  aEvent.mFields.end(),
+                                  [&](const auto& aField) { return aField.first == aName; });
+  return found == aEvent.mFields.end() ? std::string() : found->second;
+}
+
 } // namespace
 
 // Guards against callers that wait for an answer on a flow that no upstream has: a packet that
@@ -336,6 +347,33 @@
   BOOST_TEST(mReset.size() == 1U);
 }
 
+// Guards against resets whose log line does not show whether an agent was ruled out by its denial
+// or by its silence.
+BOOST_FIXTURE_TEST_CASE(the_log_line_of_a_reset_that_all_agents_agree_to_counts_none_as_gone,
+                        ZoneOutFixture)
+{
+  takeZoneOut();
+  sendFromCaller(mFlow);
+  advance(200ms);
+  BOOST_REQUIRE(mResetEvents.size() == 1U);
+  BOOST_TEST(fieldOf(mResetEvents[0], "candidates") == std::to_string(kUpstreams));
+  BOOST_TEST(fieldOf(mResetEvents[0], "gone") == "0");
+  BOOST_TEST(fieldOf(mResetEvents[0], "first_gone") == "none");
+}
+
+BOOST_FIXTURE_TEST_CASE(the_log_line_of_a_reset_names_an_agent_that_counts_as_gone, ZoneOutFixture)
+{
+  upstreamOf(agentOf(1)).mState = config::UpstreamState::kRemoved;
+  takeZoneOut();
+  mSilent = { agentOf(1) };
+  sendFromCaller(mFlow);
+  advance(1500ms);
+  BOOST_REQUIRE(mResetEvents.size() == 1U);
+  BOOST_TEST(fieldOf(mResetEvents[0], "candidates") == std::to_string(kUpstreams - 1));
+  BOOST_TEST(fieldOf(mResetEvents[0], "gone") == "1");
+  BOOST_TEST(fieldOf(mResetEvents[0], "first_gone") == agentOf(1).toString());
+}
+
 // Pattern: an agent restarts beside a living upstream while another zone is out of service. The
 // balancer still has the owner of the flow in its cache.
 BOOST_FIXTURE_TEST_CASE(a_flow_beside_a_new_agent_goes_on_while_another_zone_is_out, ZoneOutFixture)
