Find the owner by a lookup while a zone drains

Cause: agents receive the removal of a zone up to 3 s apart, and so end its draining as far apart. The agent of the owner that has ended it drops the packets. Agents that still drain the zone treat its upstreams as receivers, so that each agent without evidence on the way queries its own upstream, and a lookup copies a packet to all undecided agents.

Change: while a zone drains, only the likely owner queries its upstream, as for a zone out of service, and the other agents ask in a lookup. Copies go to the undecided agents of the zone first. A reset along the chain is decided as before.

Tests that failed before and pass now: returned_packets/ only_the_likely_owner_queries_its_upstream_while_a_zone_drains and agents_of_a_zone_that_drains_get_copies_before_other_agents.

--- a/src/agent/candidate_forwarder.cpp
+++ b/src/agent/candidate_forwarder.cpp
@@ -107,11 +107,13 @@
   return mSelf;
 }
 
-bool CandidateForwarder::mayBeOwnedOutOfService(const flow::TcpPacket& aPacket) const
+// Agents end the draining of a zone at different times. The agent of the owner may drop a packet
+// while this one still drains the zone.
+bool CandidateForwarder::mayBeOwnedInZoneTakenOut(const flow::TcpPacket& aPacket) const
 {
   const routing::CandidateServices services = candidateServices(aPacket);
   return std::any_of(services.begin(), services.end(), [](const auto* aRoutes) {
-    return !aRoutes->agentsOutOfService().empty();
+    return !aRoutes->agentsOutOfService().empty() || !aRoutes->drainingAgents().empty();
   });
 }
 
@@ -139,7 +141,7 @@
       continue;
     }
     aForward.mIsDeniedByAll = false;
-    if (mPacketFormat.returnsPackets() && mayBeOwnedOutOfService(aPacket)) {
+    if (mPacketFormat.returnsPackets() && mayBeOwnedInZoneTakenOut(aPacket)) {
       continue; // the lookup asks the suspect
     }
     wire::Forward copy = aForward;
@@ -244,7 +246,11 @@
   }
   const routing::CandidateServices services = candidateServices(aPacket);
   // The candidates do not include the agents of zones out of service.
-  return !mayBeOwnedOutOfService(aPacket) && digestOf(services) == aForward.mCandidateDigest;
+  const bool areAllCandidates =
+    std::all_of(services.begin(), services.end(), [](const auto* aRoutes) {
+      return aRoutes->agentsOutOfService().empty();
+    });
+  return areAllCandidates && digestOf(services) == aForward.mCandidateDigest;
 }
 
 bool CandidateForwarder::canResetAfter(const flow::TcpPacket& aPacket,
--- a/src/agent/owner_lookups.cpp
+++ b/src/agent/owner_lookups.cpp
@@ -327,6 +327,25 @@
          configuration.mIsRetainedStateComplete;
 }
 
+// The agent of an owner in a zone that drains may have ended the draining before this process, and
+// drop the packet. The other agents get copies once those of the zone have denied the flow.
+std::vector<flow::Endpoint> OwnerLookups::selectForCopies(
+  const flow::FlowKey& aFlow,
+  const std::vector<flow::Endpoint>& aUndecided) const
+{
+  std::vector<flow::Endpoint> draining;
+  for (const routing::ServiceRoutes* routes : services(aFlow)) {
+    const auto& agents = routes->drainingAgents();
+    std::copy_if(aUndecided.begin(),
+                 aUndecided.end(),
+                 std::back_inserter(draining),
+                 [&](flow::Endpoint aAgent) {
+                   return std::find(agents.begin(), agents.end(), aAgent) != agents.end();
+                 });
+  }
+  return draining.empty() ? aUndecided : draining;
+}
+
 void OwnerLookups::conclude(base::Time aNow, const flow::FlowKey& aFlow, Actions& aActions)
 {
   const auto found = mLookups.find(aFlow);
@@ -354,7 +373,7 @@
   // An agent that gets a copy can answer as soon as its upstream has returned the packet.
   const std::size_t actionsBefore = aActions.size();
   if (!mayBeOutOfService) {
-    copyToUndecided(aNow, lookup, undecided, aActions);
+    copyToUndecided(aNow, lookup, selectForCopies(aFlow, undecided), aActions);
   }
   const bool hasSentCopies = aActions.size() > actionsBefore;
   lookup.mNextRoundAt = aNow + (hasSentCopies ? kMinRoundInterval : kRetryInterval);
--- a/src/agent/owner_lookups.hpp
+++ b/src/agent/owner_lookups.hpp
@@ -90,6 +90,8 @@
   void deliverToOwner(Lookups::iterator aLookup, flow::Endpoint aOwner, Actions& aActions);
   bool recordOwner(Lookups::iterator aLookup, flow::Endpoint aOwner, Actions& aActions);
   void conclude(base::Time aNow, const flow::FlowKey& aFlow, Actions& aActions);
+  std::vector<flow::Endpoint> selectForCopies(const flow::FlowKey& aFlow,
+                                              const std::vector<flow::Endpoint>& aUndecided) const;
   void copyToUndecided(base::Time aNow,
                        Lookup& aLookup,
                        const std::vector<flow::Endpoint>& aUndecided,
--- a/src/agent/returned_packets.cpp
+++ b/src/agent/returned_packets.cpp
@@ -13,17 +13,18 @@
   return { DeliverToUpstream{ mUpstream->mAddress, std::move(aPacket) } };
 }
 
-// While an upstream in a zone out of service may own the flow, its packets are not delivered to
-// other upstreams in order to find the owner. Only the agent that the balancer names as the likely
-// owner delivers packets, one within the time in which an upstream returns it. A copy is sent only
-// after the agents of that zone have denied the flow.
+// While an upstream in a zone that was taken out of service may own the flow, its packets are not
+// delivered to other upstreams in order to find the owner. Only the agent that the balancer names
+// as the likely owner delivers packets, one within the time in which an upstream returns it. A copy
+// is sent only after the agents of that zone have denied the flow.
 bool FlowManager::mayQuery(base::Time aNow,
                            const flow::TcpPacket& aPacket,
                            const wire::Forward& aForward) const
 {
   const bool isLikelyOwner =
     aForward.mPage == wire::kNoPage && !mUpstreamQueries.isPending(aNow, aPacket.keyFromCaller());
-  return aForward.mIsCopy || isLikelyOwner || !mCandidateForwarder.mayBeOwnedOutOfService(aPacket);
+  return aForward.mIsCopy || isLikelyOwner ||
+         !mCandidateForwarder.mayBeOwnedInZoneTakenOut(aPacket);
 }
 
 // The upstream returns the packet if it does not own the flow. Forwarding to further candidates can
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -28,6 +28,9 @@
       mUpstreamSetHash += upstream.mIdentity;
       mListedSetHash += isListed ? upstream.mIdentity : 0;
     }
+    if (aConfiguration.isZoneDraining(upstream.mZone)) {
+      mDrainingAgents.push_back(upstream.mAgent);
+    }
     if (!aConfiguration.acceptsPackets(upstream)) {
       mAgentsOutOfService.push_back(upstream.mAgent);
       if (upstream.mState == config::UpstreamState::kRemoved) {
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -33,6 +33,9 @@
   /// out of service. These upstreams may own flows.
   const std::vector<flow::Endpoint>& agentsOutOfService() const { return mAgentsOutOfService; }
 
+  /// @brief Agents of the upstreams whose availability zone drains. These accept packets.
+  const std::vector<flow::Endpoint>& drainingAgents() const { return mDrainingAgents; }
+
   /// @brief Hash of the upstreams that accept packets, independent of their order.
   std::uint64_t upstreamSetHash() const { return mUpstreamSetHash; }
 
@@ -68,6 +71,7 @@
   std::unordered_map<flow::Endpoint, std::string, flow::EndpointHash> mZoneByAgent;
   std::vector<flow::Endpoint> mReceiverAgents;
   std::vector<flow::Endpoint> mAgentsOutOfService;
+  std::vector<flow::Endpoint> mDrainingAgents;
   std::unordered_set<flow::Endpoint, flow::EndpointHash> mRemovedAgents;
   std::uint64_t mNameHash;
   std::uint64_t mUpstreamSetHash = 0;
--- a/tests/unit/test_returned_packets.cpp
+++ b/tests/unit/test_returned_packets.cpp
@@ -328,6 +328,63 @@
   BOOST_TEST(findAction<agent::DeliverToUpstream>(second) == nullptr);
 }
 
+/// Configuration in which the zone "b" drains.
+config::ConfigurationPtr whileDraining()
+{
+  auto configuration = makeConfiguration(3, 2);
+  configuration.mIsRetainedStateComplete = true;
+  configuration.mZones["b"] = { "b", false, true };
+  return share(configuration);
+}
+
+// Guards against packets of a living flow that reach only other upstreams: agents end the draining
+// of a zone at different times, the owner's agent already drops the packets, and each agent without
+// evidence that still drains the zone queries its upstream.
+BOOST_AUTO_TEST_CASE(only_the_likely_owner_queries_its_upstream_while_a_zone_drains)
+{
+  const auto configuration = whileDraining();
+  mCandidateDigest = candidateDigestOf(*configuration);
+  mAgent.apply(mNow, configuration);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(forwardData()) == nullptr);
+  wire::Forward likely;
+  likely.mPage = wire::kNoPage;
+  likely.mCandidateDigest = mCandidateDigest;
+  likely.mCandidates = { agentOf(0) };
+  likely.mPacket = makeSealed({ kCaller, kServiceAddress, kSealedAck, 1, 1, 10 });
+  const auto actions = mAgent.onForward(mNow, mAgent.revision(), likely);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(actions) != nullptr);
+}
+
+/// Agents that get a copy of a packet.
+std::set<flow::Endpoint> copiedTo(const agent::Actions& aActions)
+{
+  std::set<flow::Endpoint> agents;
+  for (const auto& action : aActions) {
+    const auto* message = std::get_if<agent::SendMessage>(&action);
+    if (message != nullptr && std::holds_alternative<wire::Forward>(message->mMessage)) {
+      agents.insert(message->mTo);
+    }
+  }
+  return agents;
+}
+
+// Guards against the same by copies. The upstream of a zone that drains may still get packets.
+BOOST_AUTO_TEST_CASE(agents_of_a_zone_that_drains_get_copies_before_other_agents)
+{
+  const auto configuration = whileDraining();
+  mCandidateDigest = candidateDigestOf(*configuration);
+  mAgent.apply(mNow, configuration);
+  const auto first = replyToLookups(lookUpOwner(),
+                                    { { agentOf(1), wire::FlowOwnership::kUnknown },
+                                      { agentOf(2), wire::FlowOwnership::kUnknown } });
+  BOOST_TEST((copiedTo(first) == std::set{ agentOf(1) }));
+  mNow += 200ms;
+  const auto second = replyToLookups(lookUpOwner(),
+                                     { { agentOf(1), wire::FlowOwnership::kDenied },
+                                       { agentOf(2), wire::FlowOwnership::kUnknown } });
+  BOOST_TEST((copiedTo(second) == std::set{ agentOf(0), agentOf(2) }));
+}
+
 // Guards against resets of living flows by the order of a start that a document states and the time
 // at which this process received the removal of the zone: other processes may have received it
 // later, and the clocks of two VMs differ.
