--- a/src/agent/owner_lookups.cpp
+++ b/src/agent/owner_lookups.cpp
@@ -3,6 +3,7 @@
 #include "flow/run_verdict.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cornelcross::agent {
@@ -34,6 +35,12 @@
 constexpr std::size_t kMaxPacketsPerLookup = 16; // the largest window of a caller
 constexpr std::size_t kMaxWaitingPackets = 1024;
 
+/// The first of some agents, for a log line.
+std::string firstOf(const std::vector<flow::Endpoint>& aAgents)
+{
+  return aAgents.empty() ? std::string("none") : aAgents.front().toString();
+}
+
 } // namespace
 
 OwnerLookups::OwnerLookups(flow::Endpoint aSelf,
@@ -147,6 +154,9 @@
   }
 }
 
+// Only an agent can state what its own upstream does not own. Neither the order of the upstream's
+// start and the removal of its zone nor this process's own start proves that no flow entered the
+// zone: other processes receive the removal later.
 std::vector<flow::Endpoint> OwnerLookups::undecidedOutOfService(base::Time aNow,
                                                                 const flow::FlowKey& aFlow,
                                                                 const Lookup& aLookup) const
@@ -162,22 +172,6 @@
   return agents;
 }
 
-// An upstream that started after its zone was taken out of service has received no flow. Its agent
-// is asked all the same, because the starts are those that the documents state; a reply that it
-// owns the flow ends the lookup.
-bool OwnerLookups::mayBeOwnedOutOfService(base::Time aNow,
-                                          const flow::FlowKey& aFlow,
-                                          const Lookup& aLookup) const
-{
-  const routing::CandidateServices services = this->services(aFlow);
-  const std::vector<flow::Endpoint> undecided = undecidedOutOfService(aNow, aFlow, aLookup);
-  return std::any_of(undecided.begin(), undecided.end(), [&](flow::Endpoint aAgent) {
-    return std::any_of(services.begin(), services.end(), [&](const auto* aRoutes) {
-      return aRoutes->mayOwnFlowsWhileOut(aAgent);
-    });
-  });
-}
-
 void OwnerLookups::deliverToOwner(Lookups::iterator aLookup,
                                   flow::Endpoint aOwner,
                                   Actions& aActions)
@@ -333,6 +327,25 @@
          configuration.mIsRetainedStateComplete;
 }
 
+// The agent of an owner in a zone that drains may have ended the draining before this process, and
+// drop the packet. The other agents get copies once those of the zone have denied the flow.
+std::vector<flow::Endpoint> OwnerLookups::selectForCopies(
+  const flow::FlowKey& aFlow,
+  const std::vector<flow::Endpoint>& aUndecided) const
+{
+  std::vector<flow::Endpoint> draining;
+  for (const routing::ServiceRoutes* routes : services(aFlow)) {
+    const auto& agents = routes->drainingAgents();
+    std::copy_if(aUndecided.begin(),
+                 aUndecided.end(),
+                 std::back_inserter(draining),
+                 [&](flow::Endpoint aAgent) {
+                   return std::find(agents.begin(), agents.end(), aAgent) != agents.end();
+                 });
+  }
+  return draining.empty() ? aUndecided : draining;
+}
+
 void OwnerLookups::conclude(base::Time aNow, const flow::FlowKey& aFlow, Actions& aActions)
 {
   const auto found = mLookups.find(aFlow);
@@ -347,7 +360,7 @@
     return;
   }
   const std::vector<flow::Endpoint> undecided = undecidedAgents(aNow, aFlow, lookup);
-  const bool mayBeOutOfService = mayBeOwnedOutOfService(aNow, aFlow, lookup);
+  const bool mayBeOutOfService = !undecidedOutOfService(aNow, aFlow, lookup).empty();
   if (undecided.empty() && !mayBeOutOfService && isDenialComplete(aFlow, lookup)) {
     // A RST is never answered with a RST (RFC 9293, section 3.5.2).
     if (!lookup.mLastPacket.has(flow::kRst)) {
@@ -360,7 +373,7 @@
   // An agent that gets a copy can answer as soon as its upstream has returned the packet.
   const std::size_t actionsBefore = aActions.size();
   if (!mayBeOutOfService) {
-    copyToUndecided(aNow, lookup, undecided, aActions);
+    copyToUndecided(aNow, lookup, selectForCopies(aFlow, undecided), aActions);
   }
   const bool hasSentCopies = aActions.size() > actionsBefore;
   lookup.mNextRoundAt = aNow + (hasSentCopies ? kMinRoundInterval : kRetryInterval);
@@ -422,17 +435,31 @@
   mLookups.erase(aLookup);
 }
 
+// At a reset, an agent that has not denied the flow counts as gone.
 Action OwnerLookups::makeReset(base::Time aNow,
                                const flow::FlowKey& aFlow,
                                const Lookup& aLookup) const
 {
   const auto elapsed =
     std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aLookup.mStartedAt);
+  std::vector<flow::Endpoint> gone;
+  const auto addGone = [&](const std::vector<flow::Endpoint>& aAgents) {
+    std::copy_if(aAgents.begin(),
+                 aAgents.end(),
+                 std::back_inserter(gone),
+                 [&](flow::Endpoint aAgent) { return !aLookup.mDeniedBy.contains(aAgent); });
+  };
+  for (const routing::ServiceRoutes* routes : services(aFlow)) {
+    addGone(routes->receiverAgents());
+    addGone(routes->agentsOutOfService());
+  }
   return telemetry::Event{ telemetry::EventKind::kFlowReset,
                            { { "flow", aFlow.toString() },
                              { "reason", "denied_by_all" },
                              { "verdict", std::string(toString(flow::RunVerdict::kMayHaveRun)) },
                              { "candidates", std::to_string(aLookup.mDeniedBy.size()) },
+                             { "gone", std::to_string(gone.size()) },
+                             { "first_gone", firstOf(gone) },
                              { "rounds", std::to_string(aLookup.mRounds) },
                              { "lookup_ms", std::to_string(elapsed.count()) },
                              { "revision",
@@ -446,27 +473,22 @@
 {
   const config::Configuration& configuration = mServiceTable.configuration();
   const auto yesOrNo = [](bool aValue) { return std::string(aValue ? "yes" : "no"); };
-  const auto firstOf = [](const std::vector<flow::Endpoint>& aAgents) {
-    return aAgents.empty() ? std::string("none") : aAgents.front().toString();
-  };
   const auto undecided = undecidedAgents(aNow, aFlow, aLookup);
   const auto outOfService = undecidedOutOfService(aNow, aFlow, aLookup);
   const bool hasSameList = aLookup.mListedDigest == routing::listedDigest(services(aFlow));
-  return telemetry::Event{
-    telemetry::EventKind::kOwnerNotFound,
-    { { "flow", aFlow.toString() },
-      { "denied", std::to_string(aLookup.mDeniedBy.size()) },
-      { "undecided", std::to_string(undecided.size()) },
-      { "first_undecided", firstOf(undecided) },
-      { "undecided_out", std::to_string(outOfService.size()) },
-      { "first_undecided_out", firstOf(outOfService) },
-      { "may_be_out", yesOrNo(mayBeOwnedOutOfService(aNow, aFlow, aLookup)) },
-      { "same_list", yesOrNo(hasSameList) },
-      { "newest_revision", std::to_string(aLookup.mNewestRevision) },
-      { "retained_complete", yesOrNo(configuration.mIsRetainedStateComplete) },
-      { "rounds", std::to_string(aLookup.mRounds) },
-      { "revision", std::to_string(configuration.mRevision) } }
-  };
+  return telemetry::Event{ telemetry::EventKind::kOwnerNotFound,
+                           { { "flow", aFlow.toString() },
+                             { "denied", std::to_string(aLookup.mDeniedBy.size()) },
+                             { "undecided", std::to_string(undecided.size()) },
+                             { "first_undecided", firstOf(undecided) },
+                             { "undecided_out", std::to_string(outOfService.size()) },
+                             { "first_undecided_out", firstOf(outOfService) },
+                             { "same_list", yesOrNo(hasSameList) },
+                             { "newest_revision", std::to_string(aLookup.mNewestRevision) },
+                             { "retained_complete",
+                               yesOrNo(configuration.mIsRetainedStateComplete) },
+                             { "rounds", std::to_string(aLookup.mRounds) },
+                             { "revision", std::to_string(configuration.mRevision) } } };
 }
 
 } // namespace cornelcross::agent
--- a/src/agent/owner_lookups.hpp
+++ b/src/agent/owner_lookups.hpp
@@ -90,6 +90,8 @@
   void deliverToOwner(Lookups::iterator aLookup, flow::Endpoint aOwner, Actions& aActions);
   bool recordOwner(Lookups::iterator aLookup, flow::Endpoint aOwner, Actions& aActions);
   void conclude(base::Time aNow, const flow::FlowKey& aFlow, Actions& aActions);
+  std::vector<flow::Endpoint> selectForCopies(const flow::FlowKey& aFlow,
+                                              const std::vector<flow::Endpoint>& aUndecided) const;
   void copyToUndecided(base::Time aNow,
                        Lookup& aLookup,
                        const std::vector<flow::Endpoint>& aUndecided,
@@ -103,9 +105,6 @@
   std::vector<flow::Endpoint> undecidedOutOfService(base::Time aNow,
                                                     const flow::FlowKey& aFlow,
                                                     const Lookup& aLookup) const;
-  bool mayBeOwnedOutOfService(base::Time aNow,
-                              const flow::FlowKey& aFlow,
-                              const Lookup& aLookup) const;
   const flow::Endpoint* ownerOutOfService(base::Time aNow, const flow::FlowKey& aFlow) const;
   bool isOutOfService(const flow::FlowKey& aFlow, flow::Endpoint aAgent) const;
   void storeOwnerOutOfService(base::Time aNow, const flow::FlowKey& aFlow, flow::Endpoint aOwner);
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -28,15 +28,15 @@
       mUpstreamSetHash += upstream.mIdentity;
       mListedSetHash += isListed ? upstream.mIdentity : 0;
     }
+    if (aConfiguration.isZoneDraining(upstream.mZone)) {
+      mDrainingAgents.push_back(upstream.mAgent);
+    }
     if (!aConfiguration.acceptsPackets(upstream)) {
       mAgentsOutOfService.push_back(upstream.mAgent);
       if (upstream.mState == config::UpstreamState::kRemoved) {
         mRemovedAgents.insert(upstream.mAgent);
       }
     }
-    if (aConfiguration.mayOwnFlowsWhileOut(upstream)) {
-      mPossibleOwnersOutOfService.insert(upstream.mAgent);
-    }
   }
 }
 
