Draw the numbers of the ownership model in named statements

Cause: three calls of the model drew two random numbers in their arguments (the start of an upstream in restartUpstreams and losePower) or in the captures of one lambda (blockPath). The compiler chooses the order of arguments. gcc evaluates them from right to left on x86-64, clang from left to right, so that one seed played two runs. Ruled out: contraction into fused operations (src/admission compiled with -mfma -ffp-contract=fast) and another exp() of the C library (GLIBC_TUNABLES without FMA and AVX2) change nothing.

Change: each statement draws one number, in the order of the text. This is the order of clang.

Seed 8 of mixed passes now. As gcc played it, no zone was out: agents were restarted in turn and the packets ended at stopped agents of the chain.

--- a/tests/ownership/fleet.cpp
+++ b/tests/ownership/fleet.cpp
@@ -323,8 +323,9 @@
   });
   if (!mVms[aVm].mIsBalancer) {
     endUpstream(aVm);
-    mEvents.after(aDuration + between(milliseconds(100), milliseconds(2500)),
-                  [this, aVm, isNew = happens(0.5)] { startUpstream(aVm, isNew); });
+    const base::Duration delay = between(milliseconds(100), milliseconds(2500));
+    const bool isNew = happens(0.5);
+    mEvents.after(aDuration + delay, [this, aVm, isNew] { startUpstream(aVm, isNew); });
   }
 }
 
--- a/tests/ownership/run_kind.cpp
+++ b/tests/ownership/run_kind.cpp
@@ -13,7 +13,8 @@
 constexpr base::Duration kFaultsLast = seconds(45);
 constexpr base::Duration kAfterFaults = seconds(15);
 
-/// Plans the faults of one run.
+/// Plans the faults of one run. Each statement draws one number, since the compiler chooses the
+/// order in which the arguments of a call are evaluated.
 class FaultPlan
 {
 public:
@@ -105,9 +106,10 @@
     const std::size_t count = 2 + mRandom.below(4);
     for (std::size_t i = 0; i < count; ++i) {
       const std::size_t vm = randomAgent();
+      const base::Duration down = between(milliseconds(200), seconds(3));
+      const bool isNew = mRandom.below(2) == 0;
       at(aOffset, [this, vm] { mFleet.endUpstream(vm); });
-      at(aOffset + between(milliseconds(200), seconds(3)),
-         [this, vm, isNew = mRandom.below(2) == 0] { mFleet.startUpstream(vm, isNew); });
+      at(aOffset + down, [this, vm, isNew] { mFleet.startUpstream(vm, isNew); });
       aOffset += between(milliseconds(100), seconds(3));
     }
   }
@@ -150,14 +152,19 @@
           endProcess(offset);
           break;
         default:
-          at(offset, [this, from = randomVm(), to = randomVm()] {
-            mFleet.blockPath(from, to, between(seconds(1), seconds(10)));
-          });
+          blockPath(offset);
           break;
       }
     }
   }
 
+  void blockPath(base::Duration aOffset)
+  {
+    const std::size_t from = randomVm();
+    const std::size_t to = randomVm();
+    at(aOffset, [this, from, to] { mFleet.blockPath(from, to, between(seconds(1), seconds(10))); });
+  }
+
   void endProcess(base::Duration aOffset)
   {
     const std::size_t vm = randomVm();
