Draw the numbers of two property tests in named statements

The callers of network_properties drew their time and pause in the arguments of one call. The records of arbitrary_records_harm_no_backend drew six members in the operands of one expression. gcc on x86-64 evaluates both from the right, clang from the left.

Change: one draw a statement, in the order of the text.

The records were not compared; their order follows from the text. unit_tests pass with RC_PARAMS=seed=1.

--- a/tests/platform/test_foreign_records.cpp
+++ b/tests/platform/test_foreign_records.cpp
@@ -297,13 +297,14 @@
       const std::string address = *rc::gen::element<std::string>(
         "10.0.0.1:80", "10.0.0.1:81", "10.0.0.2:8172", "10.0.0.3:80", "10.0.0.8:80", "10.0.0.8:81");
       const std::string service = *rc::gen::element<std::string>("log", "cert", "nobody");
-      const std::string text =
-        "{\"service\":" + valid("\"" + service + "\"", member("\"\"")) + ",\"address\":" +
-        valid("\"" + address + "\"", member("\"10.0.0.1:99999\"", "\"0.0.0.0:1\"")) +
-        ",\"zone\":" + valid("\"a\"", member("\"\"", "\"elsewhere\"")) +
-        ",\"capacity\":" + valid("7", member("0", "1e400")) +
-        ",\"state\":" + valid("\"ready\"", member("\"asleep\"", "\"draining\"")) +
-        ",\"born\":" + valid("9000", member("0", "18446744073709551615")) + "}";
+      // One member a statement: the compiler chooses the order of the operands of an expression.
+      std::string text = "{\"service\":" + valid("\"" + service + "\"", member("\"\""));
+      text += ",\"address\":" +
+              valid("\"" + address + "\"", member("\"10.0.0.1:99999\"", "\"0.0.0.0:1\""));
+      text += ",\"zone\":" + valid("\"a\"", member("\"\"", "\"elsewhere\""));
+      text += ",\"capacity\":" + valid("7", member("0", "1e400"));
+      text += ",\"state\":" + valid("\"ready\"", member("\"asleep\"", "\"draining\""));
+      text += ",\"born\":" + valid("9000", member("0", "18446744073709551615")) + "}";
       const std::string id = *rc::gen::element<std::string>("", "odd", "a/b", "\"", "10.0.0.1");
       const bool isSameBackend = (service == "log" && (address == "10.0.0.1:80")) ||
                                  (service == "cert" && address == "10.0.0.3:80");
--- a/tests/unit/test_network_properties.cpp
+++ b/tests/unit/test_network_properties.cpp
@@ -29,8 +29,10 @@
   const double loss = *rc::gen::element(0.0, 0.02, 0.1, 0.2);
   Network network(*rc::gen::arbitrary<std::uint32_t>(), loss);
   for (std::uint32_t i = 0; i < aCallers; ++i) {
-    network.addCaller(*rc::gen::inRange<std::uint32_t>(0, kFaultyMs),
-                      *rc::gen::element<std::uint32_t>(200, 2000, 15000));
+    // The compiler chooses the order in which the arguments of a call are evaluated.
+    const auto atMs = *rc::gen::inRange<std::uint32_t>(0, kFaultyMs);
+    const auto thinkMs = *rc::gen::element<std::uint32_t>(200, 2000, 15000);
+    network.addCaller(atMs, thinkMs);
   }
   for (const Fault& fault : randomFaults()) {
     network.addFault(fault);
