Hold fingerprints of seeded runs against fixed values

Cause: a seed that plays another run on another machine, compiler or option was only seen when one of the runs broke a rule.

--- a/tests/ownership/callers.cpp
+++ b/tests/ownership/callers.cpp
@@ -144,10 +144,19 @@
   mEvents.after(mRandom.between(milliseconds(50), milliseconds(500)), [this] { open(); });
 }
 
+void Callers::recordPacket(std::size_t aVm, const flow::Bytes& aPacket)
+{
+  ++mReport.mPackets;
+  mReport.mFingerprint.add(static_cast<std::uint64_t>(mEvents.now().time_since_epoch().count()));
+  mReport.mFingerprint.add(aVm);
+  mReport.mFingerprint.add(aPacket);
+}
+
 void Callers::onPacket(std::size_t aVm, const flow::Bytes& aPacket)
 {
   constexpr std::size_t kCloseEvery = 15;
   constexpr std::size_t kScale = 100;
+  recordPacket(aVm, aPacket);
   const flow::TcpPacket packet = *platform::parsePacket(aPacket);
   const auto found = mFlows.find(packet.keyFromUpstream());
   if (found == mFlows.end() || found->second->mState == State::kEnded) {
@@ -238,6 +247,9 @@
 
 void Callers::onArrival(UpstreamInstance aInstance, const flow::Bytes& aPacket, bool aIsHeld)
 {
+  recordPacket(aInstance.mVm, aPacket);
+  mReport.mFingerprint.add(aInstance.mStart);
+  mReport.mFingerprint.add(std::uint64_t{ aIsHeld });
   const flow::TcpPacket packet = *platform::parsePacket(aPacket);
   const auto found = mFlows.find(packet.keyFromCaller());
   if (packet.isInitialSyn() || found == mFlows.end() || found->second->mUpstreamInitial == 0) {
--- a/tests/ownership/callers.hpp
+++ b/tests/ownership/callers.hpp
@@ -59,6 +59,7 @@
                    base::Time aDeadline);
   void send(Flow& aFlow, std::uint8_t aFlags, std::uint32_t aBytes);
   void end(Flow& aFlow);
+  void recordPacket(std::size_t aVm, const flow::Bytes& aPacket);
   void onPacket(std::size_t aVm, const flow::Bytes& aPacket);
   void onReset(Flow& aFlow, std::size_t aVm);
   void onArrival(UpstreamInstance aInstance, const flow::Bytes& aPacket, bool aIsHeld);
--- a/tests/ownership/event_queue.hpp
+++ b/tests/ownership/event_queue.hpp
@@ -15,6 +15,9 @@
 public:
   base::Time now() const { return mNow; }
 
+  /// @brief Number of functions that have run.
+  std::size_t count() const { return mCount; }
+
   /// @brief Runs aFunction at aTime, which is not before now().
   void at(base::Time aTime, std::function<void()> aFunction)
   {
@@ -33,6 +36,7 @@
     while (!mEvents.empty() && mEvents.begin()->first <= aEnd) {
       auto event = mEvents.extract(mEvents.begin());
       mNow = event.key();
+      ++mCount;
       event.mapped()();
     }
     mNow = aEnd;
@@ -40,6 +44,7 @@
 
 private:
   base::Time mNow{ std::chrono::seconds(100) };
+  std::size_t mCount = 0;
   std::multimap<base::Time, std::function<void()>> mEvents;
 };
 
--- a/tests/ownership/run_kind.cpp
+++ b/tests/ownership/run_kind.cpp
@@ -212,7 +212,9 @@
   faults.plan(aKind);
   callers.start(kOpenFlows, end);
   events.runUntil(end);
-  return callers.report();
+  RunReport report = callers.report();
+  report.mEvents = events.count();
+  return report;
 }
 
 } // namespace cornelcross::test
--- a/tests/ownership/run_report.hpp
+++ b/tests/ownership/run_report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "unit/support/fingerprint.hpp"
 
 #include <string>
 #include <vector>
@@ -16,8 +17,11 @@
   std::size_t mExemptStrays = 0; ///< flows with stray packets that do not count
   std::size_t mDead = 0;         ///< flows used after their end and the return of their VM
   std::vector<base::Duration> mResetAfter; ///< of those that were reset
+  std::size_t mEvents = 0;                 ///< functions that the event queue ran
+  std::size_t mPackets = 0;                ///< that arrived at upstreams and callers
+  Fingerprint mFingerprint;                ///< of these packets with their times
 
-  /// @brief Adds the figures and violations of another run.
+  /// @brief Adds the figures and violations of another run, but not its fingerprint.
   void add(const RunReport& aOther)
   {
     mViolations.insert(mViolations.end(), aOther.mViolations.begin(), aOther.mViolations.end());
@@ -25,6 +29,8 @@
     mExempt += aOther.mExempt;
     mExemptStrays += aOther.mExemptStrays;
     mDead += aOther.mDead;
+    mEvents += aOther.mEvents;
+    mPackets += aOther.mPackets;
     mResetAfter.insert(mResetAfter.end(), aOther.mResetAfter.begin(), aOther.mResetAfter.end());
   }
 };
--- a/tests/platform/store/store_fleet.cpp
+++ b/tests/platform/store/store_fleet.cpp
@@ -116,6 +116,28 @@
                         std::to_string(aIndex) + ": " + aText);
 }
 
+void StoreFleet::addTo(Fingerprint& aFingerprint) const
+{
+  for (const Process& process : mProcesses) {
+    aFingerprint.add(std::uint64_t{ isRunning(process) });
+    if (!isRunning(process)) {
+      continue;
+    }
+    aFingerprint.add(process.mProcess->revision());
+    for (const std::string& address : kAddresses) {
+      aFingerprint.add(process.mProcess->routedService(address));
+    }
+    for (const std::string& zone : kZones) {
+      aFingerprint.add(std::uint64_t{ process.mProcess->isZoneInService(zone) });
+    }
+    for (const std::string& service : kServices) {
+      for (const std::string& upstream : process.mProcess->upstreams(service)) {
+        aFingerprint.add(upstream);
+      }
+    }
+  }
+}
+
 void StoreFleet::step(const FleetEvent& aEvent)
 {
   ++mStepCount;
--- a/tests/platform/store/store_fleet.hpp
+++ b/tests/platform/store/store_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "platform/store/fleet_event.hpp"
 #include "platform/store/store_process.hpp"
+#include "unit/support/fingerprint.hpp"
 
 #include <map>
 #include <set>
@@ -29,6 +30,9 @@
   /// @brief Rules that were broken, each with its time.
   const std::vector<std::string>& violations() const { return mViolations; }
 
+  /// @brief Adds what each process has in force.
+  void addTo(Fingerprint& aFingerprint) const;
+
 private:
   using Steps = unsigned;
 
--- a/tests/platform/test_store_fleet.cpp
+++ b/tests/platform/test_store_fleet.cpp
@@ -1,5 +1,6 @@
 #include "platform/store/store_fleet.hpp"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
@@ -34,6 +35,32 @@
                                     rc::gen::set(&FleetEvent::mAmount, rc::gen::inRange(0U, 256U)));
 }
 
+rc::Gen<std::vector<FleetEvent>> genDay()
+{
+  return rc::gen::container<std::vector<FleetEvent>>(kEvents, genEvent());
+}
+
+/// Summary of the random day that a generator of this seed draws.
+std::string summaryOfDay(std::uint64_t aSeed)
+{
+  const auto events = genDay()(rc::Random(aSeed), rc::kNominalSize).value();
+  test::Fingerprint drawn;
+  test::Fingerprint inForce;
+  test::StoreFleet fleet;
+  for (const FleetEvent& event : events) {
+    drawn.add(static_cast<std::uint64_t>(event.mKind));
+    drawn.add(std::uint64_t{ event.mTarget });
+    drawn.add(std::uint64_t{ event.mAmount });
+    fleet.step(event);
+    fleet.addTo(inForce);
+  }
+  const auto faults = std::count_if(events.begin(), events.end(), [](const FleetEvent& aEvent) {
+    return aEvent.mKind != FleetEvent::Kind::kNone;
+  });
+  return std::to_string(faults) + " events " + drawn.toString() + ", " +
+         std::to_string(fleet.violations().size()) + " violations, in force " + inForce.toString();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(store_fleet)
@@ -43,7 +70,7 @@
 RC_BOOST_PROP(processes_follow_the_store_over_restores_and_never_go_back, ())
 {
   test::StoreFleet fleet;
-  const auto events = *rc::gen::container<std::vector<FleetEvent>>(kEvents, genEvent());
+  const auto events = *genDay();
   for (const FleetEvent& event : events) {
     fleet.step(event);
   }
@@ -55,4 +82,16 @@
   }
 }
 
+// Guards against a seed that plays different days with different compilers, options or machines. A
+// change of what processes have in force changes the last value; the events must stay.
+BOOST_AUTO_TEST_CASE(a_seed_plays_the_same_day_on_every_machine)
+{
+  BOOST_TEST(summaryOfDay(1) ==
+             "108 events 862fad594bfa5ecd, 0 violations, in force 911d9435c7844248");
+  BOOST_TEST(summaryOfDay(2) ==
+             "105 events 1b2a74e65cc5f80c, 0 violations, in force 44181c506f214825");
+  BOOST_TEST(summaryOfDay(3) ==
+             "105 events 4065c8c2faf92313, 0 violations, in force 9f47830e5a63a6e7");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/test_network_properties.cpp
+++ b/tests/unit/test_network_properties.cpp
@@ -1,3 +1,4 @@
+#include "unit/support/fingerprint.hpp"
 #include "unit/support/network.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -41,6 +42,35 @@
   return network;
 }
 
+std::string summarize(const Network& aNetwork)
+{
+  std::size_t responses = 0;
+  std::size_t resets = 0;
+  for (const ModelCaller& caller : aNetwork.callers()) {
+    responses += caller.responses();
+    resets += caller.isReset() ? 1 : 0;
+  }
+  std::size_t bytes = 0;
+  Fingerprint fingerprint;
+  for (const ModelUpstream& upstream : aNetwork.upstreams()) {
+    bytes += upstream.bytes().size();
+    for (const auto& [caller, initial, offset] : upstream.bytes()) {
+      fingerprint.add(caller.toString());
+      fingerprint.add(initial);
+      fingerprint.add(offset);
+    }
+  }
+  return std::to_string(responses) + " responses, " + std::to_string(resets) + " resets, " +
+         std::to_string(bytes) + " bytes, " + fingerprint.toString();
+}
+
+/// Summary of the random network that a generator of this seed draws.
+std::string summaryOfNetwork(std::uint64_t aSeed)
+{
+  const auto generator = rc::gen::exec([] { return summarize(runRandomNetwork(12)); });
+  return generator(rc::Random(aSeed), rc::kNominalSize).value();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(network_properties)
@@ -72,4 +102,13 @@
   }
 }
 
+// Guards against a seed that plays different networks with different compilers, options or
+// machines. A change of what agents or balancers decide changes these values too.
+BOOST_AUTO_TEST_CASE(a_seed_plays_the_same_network_on_every_machine)
+{
+  BOOST_TEST(summaryOfNetwork(1) == "235 responses, 0 resets, 4700 bytes, eeab15299926642c");
+  BOOST_TEST(summaryOfNetwork(2) == "556 responses, 0 resets, 11140 bytes, 529d9b66a8b9b74e");
+  BOOST_TEST(summaryOfNetwork(3) == "241 responses, 4 resets, 4820 bytes, 45b7b7ebb1da1a1e");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
