Draw the numbers of the policy bench with fixed arithmetic

Cause: bench/policy drew with five distributions of the standard library and with std::log and std::sin.

--- a/bench/policy/admission_policy.cpp
+++ b/bench/policy/admission_policy.cpp
@@ -152,11 +152,10 @@
 
 void AdmissionPolicy::report()
 {
-  std::uniform_real_distribution<> chance;
   for (std::size_t from = 0; from < mAgents.size(); ++from) {
     const auto message = mAgents[from].mControl.makeLoadReport(mService.mEvents.now(), from);
     for (std::size_t to = 0; to < mAgents.size(); ++to) {
-      if (to != from && mService.mIsEligible[from] && chance(mService.mRandom) >= mChannel.mLoss) {
+      if (to != from && mService.mIsEligible[from] && !mService.mRandom.happens(mChannel.mLoss)) {
         mService.mEvents.after(mChannel.mDelay, [this, to, message] {
           mAgents[to].mControl.onLoadReport(mService.mEvents.now(), message);
         });
--- a/bench/policy/baselines.cpp
+++ b/bench/policy/baselines.cpp
@@ -47,9 +47,8 @@
 
 void LeastOfTwo::report()
 {
-  std::uniform_real_distribution<> chance;
   for (std::size_t i = 0; i < mReported.size(); ++i) {
-    if (chance(mService.mRandom) >= mChannel.mLoss) {
+    if (!mService.mRandom.happens(mChannel.mLoss)) {
       const std::uint32_t load = mService.mUpstreams[i].load();
       mService.mEvents.after(mChannel.mDelay, [this, i, load] { mReported[i] = load; });
     }
--- a/bench/policy/experiment.cpp
+++ b/bench/policy/experiment.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numbers>
 #include <numeric>
 
 namespace cornelcross::bench {
@@ -88,7 +87,7 @@
   , mShares(sharesOf(aWorkload, aSettings.mIsGreedy))
   , mResponses(aWorkload.mUpstreams)
 {
-  mService.mRandom.seed(aSettings.mSeed);
+  mService.mRandom = Random(aSettings.mSeed);
   mService.mSlots = aWorkload.mSlots;
   mService.mIsEligible.assign(aWorkload.mUpstreams, true);
   for (std::uint32_t i = 0; i < aWorkload.mUpstreams; ++i) {
@@ -131,12 +130,10 @@
   const double capacity = static_cast<double>(mWorkload.mUpstreams) * mWorkload.mSlots;
   const double rate =
     mSettings.mLoad * mBurst * wave() * capacity * kind.mShare / (kind.mWork * kind.mRequests);
-  std::exponential_distribution<> gap(rate);
-  mService.mEvents.after(seconds(gap(mService.mRandom)), [this, aKind] {
+  mService.mEvents.after(seconds(mService.mRandom.exponential(rate)), [this, aKind] {
     auto flow = std::make_shared<Flow>();
-    std::discrete_distribution<std::size_t> workspace(mShares.begin(), mShares.end());
     flow->mKind = aKind;
-    flow->mWorkspace = workspace(mService.mRandom);
+    flow->mWorkspace = mService.mRandom.choose(mShares);
     flow->mRequestsLeft = mWorkload.mKinds[aKind].mRequests;
     attempt(flow);
     arrive(aKind);
@@ -145,7 +142,7 @@
 
 void Experiment::attempt(const FlowPtr& aFlow)
 {
-  aFlow->mHash = mService.mRandom();
+  aFlow->mHash = mService.mRandom.word();
   aFlow->mRanks = ranksOf(aFlow->mHash);
   aFlow->mOpened = mService.mEvents.now();
   ++aFlow->mAttempt;
@@ -186,8 +183,8 @@
     mMeasures.mGaveUp += isMeasured() ? 1 : 0;
     return;
   }
-  std::uniform_real_distribution<> jitter(0.5, 1.5);
-  const double pause = kPause * std::exp2(aFlow->mAttempt) * jitter(mService.mRandom);
+  const double jitter = mService.mRandom.between(0.5, 1.5);
+  const double pause = std::ldexp(kPause, static_cast<int>(aFlow->mAttempt)) * jitter;
   mService.mEvents.after(seconds(pause), [this, aFlow] { attempt(aFlow); });
 }
 
@@ -356,8 +353,8 @@
 
 double Experiment::sample(double aMean)
 {
-  std::lognormal_distribution<> work(std::log(aMean) - kWorkSpread * kWorkSpread / 2, kWorkSpread);
-  return work(mService.mRandom);
+  const double meanOfLogarithm = logarithm(aMean) - kWorkSpread * kWorkSpread / 2;
+  return mService.mRandom.logNormal(meanOfLogarithm, kWorkSpread);
 }
 
 // Without tails no number is drawn, so that earlier figures stay comparable.
@@ -366,8 +363,7 @@
   const double slow = mSettings.mSlowShare * mWorkload.mUpstreams;
   double factor = static_cast<double>(aUpstream) < std::round(slow) ? 1 / mSettings.mSlowSpeed : 1;
   if (mSettings.mTailShare > 0) {
-    std::bernoulli_distribution isLong(mSettings.mTailShare);
-    factor *= isLong(mService.mRandom) ? mSettings.mTailFactor : 1;
+    factor *= mService.mRandom.happens(mSettings.mTailShare) ? mSettings.mTailFactor : 1;
   }
   return factor;
 }
@@ -376,7 +372,7 @@
 {
   const double now =
     std::chrono::duration<double>(mService.mEvents.now().time_since_epoch()).count();
-  return 1 + mSettings.mWave * std::sin(2 * std::numbers::pi * now / kWavePeriod);
+  return 1 + mSettings.mWave * sineOfTurns(now / kWavePeriod);
 }
 
 double Experiment::responseImbalance() const
--- a/bench/policy/service.hpp
+++ b/bench/policy/service.hpp
@@ -1,17 +1,16 @@
 #pragma once
 
 #include "bench/policy/flow.hpp"
+#include "bench/policy/random.hpp"
 #include "bench/policy/upstream_queue.hpp"
 
-#include <random>
-
 namespace cornelcross::bench {
 
 /// @brief What a policy sees of the service and does with its flows.
 struct Service
 {
   EventQueue mEvents;
-  std::mt19937_64 mRandom;
+  Random mRandom{ 1 };
   std::vector<UpstreamQueue> mUpstreams;
   std::vector<bool> mIsEligible;
   std::uint32_t mSlots = 1;
