--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -269,4 +269,30 @@
   BOOST_TEST(mProcess.routedService() == "cert");
 }
 
+// Guards against traffic to a zone that is out of service, in a process that missed its second
+// evacuation: a reader that had missed both changes deferred the unchanged zones, but published a
+// configuration under a later number.
+BOOST_AUTO_TEST_CASE(a_zone_that_a_reader_missed_to_return_is_out_of_service_at_its_peers)
+{
+  test::StoreProcess other(mNow);
+  mStore.put("op/evacuate/a", "");
+  readAll();
+  mNow += 3s;
+  mStore.remove("op/evacuate/a");
+  mPeer.read(mStore, 3);
+  other.pullFrom(mPeer);
+  BOOST_TEST(other.isZoneInService("a"));
+  mStore.put("op/evacuate/a", "");
+  mStore.put("op/config", test::makeConfig(12, "cert"));
+  mProcess.read(mStore, 3);
+  other.pullFrom(mProcess);
+  BOOST_TEST(other.routedService() == "cert");
+  BOOST_TEST(!other.isZoneInService("a"));
+  mPeer.read(mStore, 3);
+  pass(3s);
+  other.pullFrom(mPeer);
+  other.pullFrom(mProcess);
+  BOOST_TEST(!other.isZoneInService("a"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
