--- a/tests/ownership/test_ownership.cpp
+++ b/tests/ownership/test_ownership.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Seeds 4 and 10 of agents_while_zone_out and 1 of mixed break a rule. tests/CMakeLists.txt makes
-// each seed that fails, or one of several with the same cause, a test of its own.
+// tests/CMakeLists.txt makes each lower seed that failed, and one of each known cause among the
+// others, a test of its own.
 constexpr std::uint64_t kFirstSeedInCi = 5;
 constexpr std::uint64_t kRunsInCi = 5;
 
--- a/tests/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -1,8 +1,8 @@
-#include "soak/callers.hpp"
+#include "platform/soak/callers.hpp"
 
 #include "net/main_loop.hpp"
 #include "platform/packet.hpp"
-#include "soak/packets.hpp"
+#include "platform/soak/packets.hpp"
 
 namespace cornelcross::soak {
 
--- a/tests/soak/callers.hpp
+++ b/tests/platform/soak/callers.hpp
@@ -2,7 +2,7 @@
 
 #include "flow/flow_key.hpp"
 #include "net/udp_socket.hpp"
-#include "soak/observations.hpp"
+#include "platform/soak/observations.hpp"
 
 #include <functional>
 #include <optional>
--- a/tests/soak/faults.hpp
+++ b/tests/platform/soak/faults.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "soak/fleet.hpp"
+#include "platform/soak/fleet.hpp"
 
 namespace cornelcross::soak {
 
--- a/tests/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -1,4 +1,4 @@
-#include "soak/fleet.hpp"
+#include "platform/soak/fleet.hpp"
 
 #include "telemetry/event_log.hpp"
 
--- a/tests/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -2,9 +2,9 @@
 
 #include "net/http_client.hpp"
 #include "net/main_loop.hpp"
+#include "platform/soak/callers.hpp"
+#include "platform/soak/vm.hpp"
 #include "platform/store/store_server.hpp"
-#include "soak/callers.hpp"
-#include "soak/vm.hpp"
 
 namespace cornelcross::soak {
 
--- a/tests/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -1,4 +1,4 @@
-#include "soak/faults.hpp"
+#include "platform/soak/faults.hpp"
 
 #include <gflags/gflags.h>
 #include <iostream>
--- a/tests/soak/observations.cpp
+++ b/tests/platform/soak/observations.cpp
@@ -1,4 +1,4 @@
-#include "soak/observations.hpp"
+#include "platform/soak/observations.hpp"
 
 #include <algorithm>
 #include <iostream>
--- a/tests/soak/packets.cpp
+++ b/tests/platform/soak/packets.cpp
@@ -1,4 +1,4 @@
-#include "soak/packets.hpp"
+#include "platform/soak/packets.hpp"
 
 #include "flow/byte_order.hpp"
 #include "platform/packet.hpp"
--- a/tests/soak/upstream.cpp
+++ b/tests/platform/soak/upstream.cpp
@@ -1,8 +1,8 @@
-#include "soak/upstream.hpp"
+#include "platform/soak/upstream.hpp"
 
 #include "net/main_loop.hpp"
 #include "platform/packet.hpp"
-#include "soak/packets.hpp"
+#include "platform/soak/packets.hpp"
 
 #include <stdexcept>
 
--- a/tests/soak/vm.cpp
+++ b/tests/platform/soak/vm.cpp
@@ -1,4 +1,4 @@
-#include "soak/vm.hpp"
+#include "platform/soak/vm.hpp"
 
 #include <csignal>
 #include <fstream>
--- a/tests/soak/vm.hpp
+++ b/tests/platform/soak/vm.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "platform/soak/upstream.hpp"
 #include "scenarios/runner/child.hpp"
-#include "soak/upstream.hpp"
 
 #include <filesystem>
 #include <nlohmann/json.hpp>
