Accept the end of a program only if it could not bind a shared address

The check now reads why the program ended, so that other ends of a program beside a former one are reported as well.

--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -275,7 +275,7 @@
   for (const auto& vm : mVms) {
     vm->onTick(aNow);
     // The program of a new VM fails to bind while that of the former VM still runs.
-    if (vm->takeUnexplainedEnd() && !isAddressInUse(*vm)) {
+    if (vm->takeUnexplainedEnd() && !(vm->hasFailedToBind() && sharesAddress(*vm))) {
       mObservations.addViolation(aNow, "FAULT: the program of " + vm->name() + " ended by itself");
     }
   }
@@ -285,10 +285,10 @@
   }
 }
 
-bool Fleet::isAddressInUse(const Vm& aVm) const
+bool Fleet::sharesAddress(const Vm& aVm) const
 {
   return std::any_of(mVms.begin(), mVms.end(), [&](const auto& aOther) {
-    return aOther.get() != &aVm && aOther->address() == aVm.address() && aOther->isRunning();
+    return aOther.get() != &aVm && aOther->address() == aVm.address();
   });
 }
 
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -97,7 +97,7 @@
             const std::string& aRole,
             nlohmann::json aSettings);
   void onTick(base::Time aNow);
-  bool isAddressInUse(const Vm& aVm) const;
+  bool sharesAddress(const Vm& aVm) const;
   void updateRecords(base::Time aNow);
   void writeRecord(base::Time aNow, const std::string& aId, Record& aRecord);
   void checkReadiness();
--- a/tests/platform/soak/vm.cpp
+++ b/tests/platform/soak/vm.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <sstream>
 
 namespace cornelcross::soak {
 
@@ -62,15 +63,22 @@
 
 void Vm::start()
 {
-  const std::string log = mName + "." + std::to_string(++mStarts) + ".log";
+  mLog = mFolder / (mName + "." + std::to_string(++mStarts) + ".log");
   mRestartAt.reset();
   mIsSignalled = false;
   mProgram = std::make_unique<scenarios::Child>(
     std::vector<std::string>{ mProgramPath, mRole },
-    mFolder / log,
+    mLog,
     std::map<std::string, std::string>{ { "CORNELCROSS_BOOT", mFolder / (mName + ".json") } });
 }
 
+bool Vm::hasFailedToBind() const
+{
+  std::ostringstream errors;
+  errors << std::ifstream(mLog.string() + ".err").rdbuf();
+  return errors.str().starts_with("error: cannot bind");
+}
+
 void Vm::signal(int aSignal)
 {
   if (isRunning()) {
--- a/tests/platform/soak/vm.hpp
+++ b/tests/platform/soak/vm.hpp
@@ -64,6 +64,9 @@
   /// @brief True once for each end of the program that no signal explains.
   bool takeUnexplainedEnd() { return std::exchange(mHasUnexplainedEnd, false); }
 
+  /// @brief True if the program wrote that its address is in use.
+  bool hasFailedToBind() const;
+
   std::unique_ptr<Upstream> mUpstream; ///< empty if there is none or it has ended
 
 private:
@@ -76,6 +79,7 @@
   nlohmann::json mSettings;
   std::string mProgramPath;
   std::filesystem::path mFolder;
+  std::filesystem::path mLog; ///< of the running or last program
   std::unique_ptr<scenarios::Child> mProgram;
   bool mIsOn = false;
   bool mIsSignalled = false; ///< the program got a signal that ends it
