Watch an upstream only where it can be connected to

An agent whose settings state a reuse delay but no endpoint of the upstream never connects, so the watch took a living upstream for ended two seconds after it was listed. It is now off there. An end that no check had noticed was also forgotten when the start was unlisted.

Tests: upstream_presence/an_upstream_whose_endpoint_the_settings_do_not_state_ is_not_watched and upstream_watch/an_end_that_no_check_has_noticed_is_kept_ when_the_start_is_unlisted, both seen failing before.

--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -33,6 +33,12 @@
   base::Duration mClosingTimeout = std::chrono::seconds(60);
   base::Duration mIdleTimeout = std::chrono::hours(12); ///< for established flows
 
+  /// @brief Settings of the watch; disabled if the upstream cannot be connected to.
+  UpstreamWatchSettings upstreamWatch() const
+  {
+    return mUpstreamAddress && mUpstreamAcceptsTcp ? mUpstreamWatch : UpstreamWatchSettings{};
+  }
+
   auto operator<=>(const AgentSettings&) const = default;
 };
 
--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -53,7 +53,7 @@
       [this](base::Time aNow, const flow::FlowKey& aFlow) { return ownershipOf(aNow, aFlow); },
       static_cast<std::uint32_t>(mSettings.mStartedAtMs))
   , mReturnablePackets(kMaxReturnablePackets)
-  , mUpstreamWatch(aSettings.mUpstreamWatch)
+  , mUpstreamWatch(aSettings.upstreamWatch())
   , mKeepAliveProber(aSettings.mKeepAlive)
   , mEvidence(aSettings.mRecoveryWindow, aSettings.mUpstreamAddress, aSettings.mUpstreamAcceptsTcp)
 {
--- a/src/agent/upstream_presence.cpp
+++ b/src/agent/upstream_presence.cpp
@@ -15,7 +15,7 @@
   mSettings.mUpstreamAddress = aUpstream;
   mEvidence =
     OwnershipEvidence(mSettings.mRecoveryWindow, aUpstream, mSettings.mUpstreamAcceptsTcp);
-  mUpstreamWatch = UpstreamWatch(mSettings.mUpstreamWatch);
+  mUpstreamWatch = UpstreamWatch(mSettings.upstreamWatch());
   append(actions, apply(aNow, mConfiguration));
   return actions;
 }
--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -21,7 +21,7 @@
   if (aStart == mStart) {
     return;
   }
-  mFormerEndedStart = mHasEnded ? mStart : mFormerEndedStart;
+  mFormerEndedStart = hasEnded(aNow) ? mStart : mFormerEndedStart;
   mStart = aStart;
   mIsAttemptOutdated = mIsAttempting;
   reset(aNow);
--- a/tests/unit/test_upstream_presence.cpp
+++ b/tests/unit/test_upstream_presence.cpp
@@ -91,6 +91,16 @@
   BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) != nullptr);
 }
 
+// Guards against the loss of a living upstream that cannot be watched.
+BOOST_AUTO_TEST_CASE(an_upstream_whose_endpoint_the_settings_do_not_state_is_not_watched)
+{
+  agent::FlowManager agent(
+    { .mSelf = agentOf(0), .mService = "logbook", .mUpstreamWatch = { 2s, 3600ms, 5s, 2500ms } });
+  agent.apply(mNow, share(makeConfiguration(3)));
+  BOOST_TEST(findAction<telemetry::Event>(agent.onUpstreamChecked(mNow + 10s, false, {})) ==
+             nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(the_end_is_logged_once)
 {
   const auto actions = end();
--- a/tests/unit/test_upstream_watch.cpp
+++ b/tests/unit/test_upstream_watch.cpp
@@ -118,6 +118,17 @@
   BOOST_TEST(mWatch.hasEnded(mNow));
 }
 
+// Guards against the same if the configuration changes before the end was noticed by a check.
+BOOST_AUTO_TEST_CASE(an_end_that_no_check_has_noticed_is_kept_when_the_start_is_unlisted)
+{
+  mWatch.onConnectionChecked(mNow, false);
+  mWatch.onAttempt(mNow, ConnectionOutcome::kRefused);
+  mNow += 2s;
+  mWatch.list(mNow, std::nullopt);
+  mWatch.list(mNow, kStart);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+}
+
 // Guards against the loss of an upstream that restarted, by an attempt that found the former one.
 BOOST_AUTO_TEST_CASE(the_outcome_of_an_attempt_does_not_count_for_a_start_that_is_listed_later)
 {
