Review: the case of a silent backend meets all phases of the agents' reading

Done: the replacements come 7.7 s apart. The stand-in loses a mode that never failed (connections to the store that go silent) and gains the one of the next case.

--- a/review/stand-in-2/main.cpp
+++ b/review/stand-in-2/main.cpp
@@ -40,7 +40,7 @@
 void reuseAddress(Deployment& aDeployment, const std::string& aTrouble)
 {
   constexpr double kReuseAfter = 2.0;
-  constexpr double kInterval = 8.0;
+  constexpr double kInterval = 7.7; // settings are read every 2 s: all phases occur
   begin(aDeployment);
   double time = kFirstTrouble;
   for (const std::size_t index : { 0, 7, 2, 8, 4, 9, 0, 7 }) {
@@ -57,6 +57,34 @@
   aDeployment.runUntil(time);
 }
 
+/// Eight times, a backend crashes for good, its agent is killed and started again, and after
+/// reuseAfterS the address goes to a backend of the other service, on the same machine.
+/// TROUBLE=reuse leaves out the kill.
+void restartAgent(Deployment& aDeployment, const std::string& aTrouble)
+{
+  constexpr double kKillAfter = 1.6;
+  constexpr double kReuseAfter = 2.05;
+  constexpr double kInterval = 8.0;
+  begin(aDeployment);
+  double time = kFirstTrouble;
+  for (const std::size_t index : { 0, 7, 2, 8, 4, 9, 0, 7 }) {
+    aDeployment.runUntil(time);
+    if (aTrouble != "0") {
+      Machine& machine = aDeployment.side(index);
+      aDeployment.endBackend(machine, false);
+      aDeployment.runUntil(time + kKillAfter);
+      if (aTrouble != "reuse") {
+        Deployment::signal(machine, SIGKILL);
+      }
+      aDeployment.runUntil(time + kReuseAfter);
+      aDeployment.changeService(machine, Deployment::otherService(machine.mService));
+      aDeployment.startBackend(machine);
+    }
+    time += kInterval;
+  }
+  aDeployment.runUntil(time);
+}
+
 /// An entry of another writer that lacks fields has the address of a backend that drains later.
 void foreignEntry(Deployment& aDeployment, const std::string& aTrouble)
 {
@@ -108,47 +136,6 @@
   std::cout << "requests of late flows that got no answer: " << lost << '\n';
 }
 
-/// Three times, all open connections to the store go silent for good, and then a backend drains.
-void silentConnections(Deployment& aDeployment, const std::string& aTrouble)
-{
-  constexpr double kContact = 4.0;
-  constexpr double kDrain = 3.0;
-  constexpr double kInterval = 13.0;
-  begin(aDeployment);
-  std::map<std::string, double> acknowledged; // by the id of the backend
-  double silentAt = -kContact;
-  aDeployment.onOpening([&](const BackendStart& aStart, const FlowKey&, double aSentAt) {
-    const auto found = acknowledged.find(aStart.mId);
-    const bool isInTouch = now() > silentAt + kContact;
-    if (found != acknowledged.end() && now() > found->second + kDrain) {
-      const std::string text = "a flow, sent at " + std::to_string(aSentAt) + ", opens at " +
-                               aStart.mId + " " + std::to_string(now() - found->second) +
-                               " s after the acknowledgement and " +
-                               std::to_string(now() - silentAt) + " s after the silence";
-      if (isInTouch) {
-        aDeployment.violation("DRAIN: " + text);
-      } else {
-        aDeployment.record().line("not in touch: " + text);
-      }
-    }
-  });
-  double time = kFirstTrouble;
-  for (const std::size_t index : { 0, 4, 8 }) {
-    aDeployment.runUntil(time);
-    if (aTrouble != "0") {
-      silentAt = now();
-      const std::size_t count = aDeployment.store().silenceConnections();
-      aDeployment.record().line("silent for good: " + std::to_string(count) +
-                                " connections to the store");
-    }
-    aDeployment.runUntil(time + 0.5);
-    Machine& machine = aDeployment.side(index);
-    acknowledged[aDeployment.backendOf(machine)->start().mId] = aDeployment.drain(machine);
-    time += kInterval;
-  }
-  aDeployment.runUntil(time);
-}
-
 /// The settings files change: a bound becomes a fraction. Then the machines are restarted in turn.
 void fractionalBound(Deployment& aDeployment, const std::string& aTrouble)
 {
@@ -188,8 +175,8 @@
   Deployment deployment(aRepository, folder, record);
   const std::map<std::string, void (*)(Deployment&, const std::string&)> cases{
     { "reuse-address", &reuseAddress },
+    { "restart-agent", &restartAgent },
     { "foreign-entry", &foreignEntry },
-    { "silent-connections", &silentConnections },
     { "fractional-bound", &fractionalBound }
   };
   cases.at(aCase)(deployment, mode);
--- a/review/stand-in-2/store.cpp
+++ b/review/stand-in-2/store.cpp
@@ -87,22 +87,11 @@
   }
 }
 
-std::size_t Store::silenceConnections()
-{
-  for (auto& [fd, connection] : mConnections) {
-    connection.mIsSilent = true;
-    connection.mWatchUntil = 0;
-  }
-  return mConnections.size();
-}
-
 void Store::addTo(std::vector<pollfd>& aFds) const
 {
   aFds.push_back({ mListener, POLLIN, 0 });
   for (const auto& [fd, connection] : mConnections) {
-    if (!connection.mIsSilent) {
-      aFds.push_back({ fd, POLLIN, 0 });
-    }
+    aFds.push_back({ fd, POLLIN, 0 });
   }
 }
 
--- a/review/stand-in-2/store.hpp
+++ b/review/stand-in-2/store.hpp
@@ -22,9 +22,6 @@
   std::uint64_t put(const std::string& aKey, const std::string& aValue, double aLifetime);
   void remove(const std::string& aKey);
 
-  /// @brief All connections that are open now go silent for good; new ones work.
-  std::size_t silenceConnections();
-
   void addTo(std::vector<pollfd>& aFds) const;
   void onReadable(int aFd);
   void onTick();
@@ -43,7 +40,6 @@
   struct Connection
   {
     std::string mInput;
-    bool mIsSilent = false;
     std::uint64_t mWatchAfter = 0;
     double mWatchUntil = 0; ///< 0 unless a watch waits
   };
