--- a/review/stand-in-2/deployment.cpp
+++ b/review/stand-in-2/deployment.cpp
@@ -338,20 +338,21 @@
            R"(","healthCheckPath":"/health","maxConnections":2000,"protocol":"h1","tls":false,)"
            R"("warmupS":2.0,"warmupPerS":0.0})";
   };
-  mStore->put("op/config",
-              R"({"version":7,"routes":[)" +
-                route("198.18.0.1", 8080, "unsafe", 1000, R"("service":")" + sessions + '"') + "," +
-                route("198.18.0.2", 8443, "download", 3000, R"("service":")" + sheets + '"') + "," +
-                route("198.18.0.1",
-                      8443,
-                      "safe",
-                      800,
-                      R"("trafficSplit":[{"service":")" + sessions +
-                        R"(","weight":90},{"service":")" + sheets + R"(","weight":10}])") +
-                R"(],"services":[)" + service(sessions) + "," + service(sheets) +
-                R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
-                R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})",
-              0);
+  mStore->put(
+    "op/config",
+    R"({"version":7,"routes":[)" +
+      route(textOf(kFirstHost), 8080, "unsafe", 1000, R"("service":")" + sessions + '"') + "," +
+      route(textOf(kSecondHost), 8443, "download", 3000, R"("service":")" + sheets + '"') + "," +
+      route(textOf(kFirstHost),
+            8443,
+            "safe",
+            800,
+            R"("trafficSplit":[{"service":")" + sessions + R"(","weight":90},{"service":")" +
+              sheets + R"(","weight":10}])") +
+      R"(],"services":[)" + service(sessions) + "," + service(sheets) +
+      R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+      R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})",
+    0);
 }
 
 void Deployment::writeRegistrations()
@@ -388,7 +389,7 @@
   if (++found->second.mRuns > 1) {
     violation("UNASKED: " + aRequestId + " ran twice");
   }
-  const bool isAllowed = aPacket.mDestination == ((198U << 24U) | (18U << 16U) | 2U)
+  const bool isAllowed = aPacket.mDestination == kSecondHost
                            ? aStart.mService == kSheets
                            : aPacket.mDestinationPort == 8443 || aStart.mService == kSessions;
   if (!isAllowed) {
--- a/review/stand-in-2/deployment.hpp
+++ b/review/stand-in-2/deployment.hpp
@@ -130,6 +130,10 @@
   double mNextReadiness = 0;
 };
 
+/// Addresses of the routes. No packet goes to them: they stand in the headers of flows.
+inline constexpr std::uint32_t kFirstHost = (127U << 24U) | (18U << 16U) | 1U;
+inline constexpr std::uint32_t kSecondHost = kFirstHost + 1;
+
 inline constexpr const char* kSessions = "huvo11a"; ///< service with long flows
 inline constexpr const char* kSheets = "wuno96b";   ///< service with a flow for each request
 
--- a/review/stand-in-2/main.cpp
+++ b/review/stand-in-2/main.cpp
@@ -18,9 +18,6 @@
 /// Flows that clients of each zone open in a second.
 constexpr double kFlowsPerSecond = 20;
 
-constexpr std::uint32_t kFirstHost = (198U << 24U) | (18U << 16U) | 1U;
-constexpr std::uint32_t kSecondHost = kFirstHost + 1;
-
 std::vector<Route> routes()
 {
   return { { kFirstHost, 8080, false, 4, 1.0 },
@@ -43,7 +40,7 @@
   constexpr double kInterval = 7.7; // settings are read every 2 s: all phases occur
   begin(aDeployment);
   double time = kFirstTrouble;
-  for (const std::size_t index : { 0, 7, 2, 8, 4, 9, 0, 7 }) {
+  for (const std::size_t index : { 0, 7, 2, 8, 4, 9, 6, 0 }) {
     aDeployment.runUntil(time);
     if (aTrouble != "0") {
       Machine& machine = aDeployment.side(index);
@@ -67,7 +64,7 @@
   constexpr double kInterval = 8.0;
   begin(aDeployment);
   double time = kFirstTrouble;
-  for (const std::size_t index : { 0, 7, 2, 8, 4, 9, 0, 7 }) {
+  for (const std::size_t index : { 0, 7, 2, 8, 4, 9, 6, 0 }) {
     aDeployment.runUntil(time);
     if (aTrouble != "0") {
       Machine& machine = aDeployment.side(index);
@@ -162,11 +159,11 @@
   }
 }
 
-int run(const std::string& aCase, const std::string& aRepository, const std::string& aFolder)
+int run(const std::string& aCase, const std::string& aRepository, const std::string& aRecord)
 {
   const char* trouble = std::getenv("TROUBLE");
   const std::string mode = trouble == nullptr ? "1" : trouble;
-  Record record(aFolder + "/record.txt");
+  Record record(aRecord);
   const char* temporary = std::getenv("TMPDIR");
   std::string folder = std::string(temporary == nullptr ? "/tmp" : temporary) + "/review-XXXXXX";
   if (mkdtemp(folder.data()) == nullptr) {
@@ -207,7 +204,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     if (aArgc != 4) {
-      throw std::runtime_error("expected a case, the repository and the folder of the case");
+      throw std::runtime_error("expected a case, the repository and the path of the record");
     }
     return run(aArgv[1], aArgv[2], aArgv[3]);
   } catch (const std::exception& error) {
