Agent: an upstream that ends without closing its connections has ended

Cause: the agent took its upstream for running as long as the TCP connection that it holds to it was not closed. A peer that ends without a FIN or RST leaves the connection open for good, so the end was never detected, and opening packets went to whoever used the address next until the settings file or the configuration named it.

Fix: an open connection alone proves nothing. The listed start counts as running at the time of a packet that it sent or of a connection that it accepted, each dated by its earliest possible time. Without such a proof for the reuse delay it has ended. An ended process gives none, and no other one has its endpoint before the delay is over, so a process that takes the endpoint later cannot continue the series. An agent without packets from its upstream connects again every quarter of the reuse delay and holds the old connection until the new one is accepted. Queue and configuration changes check the watch first if the last check is overdue, as packets did.

--- a/src/agent/runtime.cpp
+++ b/src/agent/runtime.cpp
@@ -99,8 +99,10 @@
 
 void Runtime::onConfiguration(config::ConfigurationPtr aConfiguration)
 {
+  const base::Time now = net::MainLoop::now();
   mConfigMetrics.update(*aConfiguration);
-  perform(mFlowManager.apply(net::MainLoop::now(), std::move(aConfiguration)));
+  checkUpstreamIfOverdue(now);
+  perform(mFlowManager.apply(now, std::move(aConfiguration)));
 }
 
 void Runtime::run()
@@ -141,6 +143,7 @@
 void Runtime::onQueueTimer()
 {
   if (mMembership.mayForward()) {
+    checkUpstreamIfOverdue(net::MainLoop::now());
     perform(mFlowManager.onQueueTimer(net::MainLoop::now()));
     mSocket.flush();
   }
@@ -167,6 +170,14 @@
   perform(mFlowManager.onUpstreamChecked(aNow, mWatchConnection.isConnected(), respondedAt));
 }
 
+// After a pause of the process, the check goes before all other uses of what it decides.
+void Runtime::checkUpstreamIfOverdue(base::Time aNow)
+{
+  if (aNow - mLastUpstreamCheck > 2 * kProbeTimerInterval) {
+    checkUpstream(aNow);
+  }
+}
+
 void Runtime::onProbeTimer()
 {
   checkUpstream(net::MainLoop::now());
@@ -274,9 +285,7 @@
   const base::Time now = net::MainLoop::now();
   if (mMembership.mayForward()) {
     mHasForwarded = true;
-    if (now - mLastUpstreamCheck > 2 * kProbeTimerInterval) {
-      checkUpstream(now);
-    }
+    checkUpstreamIfOverdue(now);
     perform(mFlowManager.onForward(now, aRevision, std::move(aForward)));
     scheduleQueue();
     scheduleLookups();
@@ -347,7 +356,9 @@
 void Runtime::perform(const WatchUpstream& aAction)
 {
   mWatchConnection.start(aAction.mTo, [this](flow::ConnectionOutcome aOutcome) {
-    perform(mFlowManager.onWatchAttempt(net::MainLoop::now(), aOutcome));
+    const base::Time now = net::MainLoop::now();
+    checkUpstreamIfOverdue(now);
+    perform(mFlowManager.onWatchAttempt(now, aOutcome));
   });
 }
 
--- a/src/agent/runtime.hpp
+++ b/src/agent/runtime.hpp
@@ -64,6 +64,7 @@
   void perform(const ConnectToUpstream& aAction);
   void perform(const WatchUpstream& aAction);
   void checkUpstream(base::Time aNow);
+  void checkUpstreamIfOverdue(base::Time aNow);
   net::DeploymentHooks applyingReloads(net::DeploymentHooks aHooks);
   void applyUpstreamSettings(const net::SettingsUpdate& aUpdate);
   void onConfiguration(config::ConfigurationPtr aConfiguration);
--- a/src/agent/upstream_packets.cpp
+++ b/src/agent/upstream_packets.cpp
@@ -9,6 +9,7 @@
 
 Actions FlowManager::onUpstreamPacket(base::Time aNow, flow::Bytes aPacket)
 {
+  mUpstreamWatch.onPacket();
   const auto packet = mPacketFormat.mParse(aPacket);
   if (!packet) {
     return { DropPacket{ DropReason::kMalformed } };
--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -1,5 +1,6 @@
 #include "agent/upstream_watch.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornelcross::agent {
@@ -9,9 +10,15 @@
 /// Well below the time until an endpoint is used again.
 constexpr base::Duration kRetryInterval = std::chrono::milliseconds(100);
 
-/// Bounds the connections to an upstream that accepts and closes them.
+/// Bounds the connections to an upstream that sends no packets, or accepts and closes connections.
 constexpr int kAttemptsPerReuseDelay = 4;
 
+/// Two checks that are closer to each other count as one.
+constexpr base::Duration kMinCheckInterval = std::chrono::milliseconds(50);
+
+/// Time without a check that means that this process did not run.
+constexpr base::Duration kMinPause = std::chrono::seconds(1);
+
 } // namespace
 
 // A record is written by a running upstream, so a start that is listed for the first time counts as
@@ -37,36 +44,47 @@
   mLastRunningAt = aNow;
 }
 
-// Without an open connection, nothing shows that the process is still the same. A refused start
+// What runs at the endpoint before the reuse delay is over is the listed start. A refused start
 // that was not seen running may have ended long before it was listed here.
 bool UpstreamWatch::hasEnded(base::Time aNow) const
 {
-  const bool isUnseen = isEnabled() && mStart && !mIsOpen;
+  const bool isWatched = isEnabled() && mStart;
   const bool hasRefused = mIsRefused && !mHasRun;
-  return mHasEnded || (isUnseen && (hasRefused || aNow - mLastRunningAt >= mSettings.mReuseDelay));
+  return mHasEnded || (isWatched && (hasRefused || aNow - mLastRunningAt >= mSettings.mReuseDelay));
 }
 
-void UpstreamWatch::confirmRunning(base::Time aNow)
+void UpstreamWatch::confirmRunning(base::Time aAt)
 {
   mHasRun = true;
   mIsRefused = false;
-  mLastRunningAt = aNow;
+  mLastRunningAt = std::max(mLastRunningAt, aAt);
 }
 
+// A process that did not run could not receive packets or connect, so that a connection that is
+// still open has to suffice. A packet that was received since the last check may have waited in the
+// socket since the check before.
 void UpstreamWatch::onConnectionChecked(base::Time aNow, bool aIsOpen)
 {
+  const bool hasPaused = aNow - mLastCheckAt >= kMinPause;
+  if (hasPaused && mIsOpen && aIsOpen && !mIsAttempting && !mHasEnded) {
+    confirmRunning(aNow);
+  }
   mHasEnded = hasEnded(aNow);
   mIsOpen = aIsOpen;
-  mHasEnded = hasEnded(aNow);
-  if (mIsOpen && !mHasEnded) {
-    confirmRunning(aNow);
+  if (std::exchange(mHasSentPacket, false) && !mHasEnded) {
+    confirmRunning(mPreviousCheckAt);
+  }
+  if (aNow - mLastCheckAt >= kMinCheckInterval) {
+    mPreviousCheckAt = std::exchange(mLastCheckAt, aNow);
   }
 }
 
-// An attempt that fails proves nothing: its deadline may pass while this process does not run.
+// An attempt that fails proves nothing: its deadline may pass while this process does not run. One
+// that is accepted may have been accepted right after its start. A refusal leaves an older
+// connection open if its peer has ended without closing it.
 void UpstreamWatch::onAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome)
 {
-  mIsAttempting = false;
+  const base::Time startedAt = std::exchange(mIsAttempting, false) ? mAttemptStartedAt : aNow;
   const bool isAccepted = aOutcome == flow::ConnectionOutcome::kAccepted;
   mNextAttemptAt = aNow + (isAccepted ? mSettings.mReuseDelay / kAttemptsPerReuseDelay
                                       : base::Duration(kRetryInterval));
@@ -75,9 +93,9 @@
   }
   mIsRefused = mIsRefused || aOutcome == flow::ConnectionOutcome::kRefused;
   mHasEnded = hasEnded(aNow);
-  mIsOpen = isAccepted;
-  if (mIsOpen && !mHasEnded) {
-    confirmRunning(aNow);
+  mIsOpen = mIsOpen || isAccepted;
+  if (isAccepted && !mHasEnded) {
+    confirmRunning(startedAt);
   }
 }
 
@@ -99,10 +117,13 @@
 
 bool UpstreamWatch::startAttempt(base::Time aNow)
 {
-  if (!isEnabled() || !mStart || mIsOpen || mIsAttempting || aNow < mNextAttemptAt) {
+  const base::Duration renewalTime = mSettings.mReuseDelay / kAttemptsPerReuseDelay;
+  const bool isCurrent = mIsOpen && (mHasEnded || aNow - mLastRunningAt < renewalTime);
+  if (!isEnabled() || !mStart || isCurrent || mIsAttempting || aNow < mNextAttemptAt) {
     return false;
   }
   mIsAttempting = true;
+  mAttemptStartedAt = aNow;
   return true;
 }
 
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -38,8 +38,11 @@
   auto operator<=>(const ListedStart&) const = default;
 };
 
-/// @brief Decides from a connection to the upstream's endpoint whether the process there may be
-/// another one than the configuration lists.
+/// @brief Decides from what the upstream sends and from connections to its endpoint whether the
+/// process there may be another one than the configuration lists.
+///
+/// An open connection alone proves nothing: it may stay open when its peer has ended without
+/// closing it. The upstream must send a packet or accept another connection within the reuse delay.
 ///
 /// Deterministic: the caller passes the current time to each call.
 class UpstreamWatch
@@ -50,10 +53,13 @@
   /// @brief Applies the start that the configuration lists at the endpoint; empty if none.
   void list(base::Time aNow, std::optional<ListedStart> aStart);
 
-  /// @brief Applies whether the connection is open now. Called before each other decision that
-  /// depends on the upstream, and about every 100 ms.
+  /// @brief Applies whether the connection is open now. Called about every 100 ms, and before each
+  /// other decision that depends on the upstream if the last call is longer ago.
   void onConnectionChecked(base::Time aNow, bool aIsOpen);
 
+  /// @brief Records that the upstream sent a packet.
+  void onPacket() { mHasSentPacket = true; }
+
   /// @brief Records the outcome of an attempt to connect.
   void onAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome);
 
@@ -68,18 +74,22 @@
 
 private:
   void reset(base::Time aNow);
-  void confirmRunning(base::Time aNow);
+  void confirmRunning(base::Time aAt);
   bool isEnabled() const { return mSettings.mReuseDelay > base::Duration::zero(); }
 
   UpstreamWatchSettings mSettings;
   std::optional<ListedStart> mStart;
   std::optional<ListedStart> mFormerEndedStart; ///< last start that ended and is no longer listed
   bool mIsOpen = false;
+  bool mHasSentPacket = false; ///< since the last check
+  base::Time mLastCheckAt;
+  base::Time mPreviousCheckAt; ///< check before the last one
   bool mIsAttempting = false;
+  base::Time mAttemptStartedAt;
   bool mIsAttemptOutdated = false; ///< the attempt in progress is for a start listed before
-  bool mHasRun = false;            ///< a connection was open since the start was listed
+  bool mHasRun = false;            ///< the listed start was seen running
   bool mIsRefused = false; ///< an attempt was refused since the listed start was last known to run
-  base::Time mLastRunningAt; ///< the listed start ran at this time
+  base::Time mLastRunningAt; ///< the listed start ran at this time or later
   base::Time mNextAttemptAt;
   bool mHasEnded = false;
 
--- a/src/net/connection_attempt.cpp
+++ b/src/net/connection_attempt.cpp
@@ -4,18 +4,14 @@
 
 struct ConnectionAttempt::Attempt
 {
-  Attempt(base::Duration aDeadline, bool aHoldsConnection)
-    : mDeadline(aDeadline), mHoldsConnection(aHoldsConnection)
+  Attempt(ConnectionAttempt& aOwner, base::Duration aDeadline, Listener aListener)
+    : mOwner(&aOwner), mListener(std::move(aListener)), mDeadline(aDeadline)
   {
   }
-  ~Attempt() { g_clear_object(&mConnection); }
-  Attempt(const Attempt&) = delete;
-  Attempt& operator=(const Attempt&) = delete;
 
+  ConnectionAttempt* mOwner; ///< empty if the attempt is cancelled
   Listener mListener;
   Deadline mDeadline;
-  bool mHoldsConnection;
-  GSocketConnection* mConnection = nullptr; ///< empty unless an accepted connection is held
 };
 
 ConnectionAttempt::~ConnectionAttempt()
@@ -24,9 +20,15 @@
 }
 
 void ConnectionAttempt::cancel()
+{
+  cancelAttempt();
+  g_clear_object(&mConnection);
+}
+
+void ConnectionAttempt::cancelAttempt()
 {
   if (mAttempt) {
-    mAttempt->mListener = nullptr;
+    mAttempt->mOwner = nullptr;
     mAttempt->mDeadline.cancel();
     mAttempt.reset();
   }
@@ -36,19 +38,18 @@
 // pause of the process.
 bool ConnectionAttempt::isConnected() const
 {
-  if (!mAttempt || mAttempt->mConnection == nullptr) {
+  if (mConnection == nullptr) {
     return false;
   }
-  GSocket* socket = g_socket_connection_get_socket(mAttempt->mConnection);
+  GSocket* socket = g_socket_connection_get_socket(mConnection);
   const auto closing = static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR);
   return g_socket_condition_check(socket, closing) == 0;
 }
 
 void ConnectionAttempt::start(flow::Endpoint aPeer, Listener aListener)
 {
-  cancel();
-  mAttempt = std::make_shared<Attempt>(mDeadline, mHoldsConnection);
-  mAttempt->mListener = std::move(aListener);
+  cancelAttempt();
+  mAttempt = std::make_shared<Attempt>(*this, mDeadline, std::move(aListener));
   GSocketClient* client = g_socket_client_new();
   g_socket_client_set_enable_proxy(client, FALSE);
   GSocketAddress* address =
@@ -75,16 +76,16 @@
   const auto outcome = connection != nullptr ? flow::ConnectionOutcome::kAccepted
                        : isRefused           ? flow::ConnectionOutcome::kRefused
                                              : flow::ConnectionOutcome::kFailed;
-  if (attempt->mHoldsConnection) {
-    attempt->mConnection = connection;
-  } else {
-    g_clear_object(&connection);
-  }
   g_clear_error(&error);
-  const Listener listener = std::move(attempt->mListener);
-  attempt->mListener = nullptr;
-  if (listener) {
-    listener(outcome);
+  ConnectionAttempt* owner = attempt->mOwner;
+  if (owner != nullptr && owner->mHoldsConnection && connection != nullptr) {
+    std::swap(owner->mConnection, connection);
+  }
+  g_clear_object(&connection);
+  if (owner != nullptr) {
+    attempt->mOwner = nullptr;
+    owner->mAttempt.reset();
+    attempt->mListener(outcome);
   }
 }
 
--- a/tests/platform/soak/faults.cpp
+++ b/tests/platform/soak/faults.cpp
@@ -32,15 +32,17 @@
              { "terminate_program", [this] { terminateProgram(); } },
              { "freeze_program", [this] { freezeProgram(); } },
              { "stop_store", [this] { stopStore(); } },
-             { "change_configuration", [this] { mFleet.changeConfiguration(); } } };
+             { "change_configuration", [this] { mFleet.changeConfiguration(); } },
+             { "replace_silent_upstream", [this] { replaceSilentUpstreamInPlace(); }, true } };
   for (const std::string& name : aKinds) {
     const auto isNamed = [&](const Kind& aKind) { return aKind.mName == name; };
     if (std::none_of(mKinds.begin(), mKinds.end(), isNamed)) {
       throw std::invalid_argument("--faults: unknown kind " + name);
     }
   }
-  std::erase_if(
-    mKinds, [&](const Kind& aKind) { return !aKinds.empty() && !aKinds.contains(aKind.mName); });
+  std::erase_if(mKinds, [&](const Kind& aKind) {
+    return aKinds.empty() ? aKind.mIsByNameOnly : !aKinds.contains(aKind.mName);
+  });
 }
 
 void Faults::start()
@@ -148,6 +150,25 @@
   });
 }
 
+// The settings change as late as they may: when the next upstream starts.
+void Faults::startNextUpstream(Vm& aVm)
+{
+  aVm.setService(Fleet::otherService(aVm.service()));
+  mFleet.startUpstream(aVm);
+  mBusy.erase(&aVm);
+}
+
+// The upstream's connections stay open. Its VM and its agent stay, too.
+void Faults::replaceSilentUpstreamInPlace()
+{
+  Vm* vm = pickUpstreamVm();
+  if (vm == nullptr) {
+    return;
+  }
+  mFleet.silenceUpstream(*vm);
+  after(kReuseAfter + upTo(200ms), [this, vm] { startNextUpstream(*vm); });
+}
+
 void Faults::restartUpstream()
 {
   Vm* vm = pickUpstreamVm();
--- a/tests/platform/soak/faults.hpp
+++ b/tests/platform/soak/faults.hpp
@@ -8,7 +8,7 @@
 class Faults
 {
 public:
-  /// @param aKinds names of the kinds to inject; all if empty
+  /// @param aKinds names of the kinds to inject; if empty, all that are not selected by name only
   Faults(Fleet& aFleet, std::uint64_t aSeed, const std::set<std::string>& aKinds);
 
   /// @brief Injects faults from now on until stop().
@@ -25,6 +25,7 @@
   {
     std::string mName;
     std::function<void()> mInject;
+    bool mIsByNameOnly = false; ///< the seeds of runs with all kinds stay what they were
   };
 
   void injectNext();
@@ -36,7 +37,9 @@
 
   void replaceVm(base::Duration aStopDelay);
   void placeNextVm(Vm& aFormer);
+  void startNextUpstream(Vm& aVm);
   void replaceUpstreamInPlace();
+  void replaceSilentUpstreamInPlace();
   void restartUpstream();
   void killProgram();
   void terminateProgram();
--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -73,7 +73,12 @@
   }
 }
 
-Fleet::~Fleet() = default;
+Fleet::~Fleet()
+{
+  for (GSocketConnection* connection : mSilentConnections) {
+    g_object_unref(connection);
+  }
+}
 
 flow::Ipv4Address Fleet::addressOf(unsigned aZone, unsigned aHost) const
 {
@@ -208,6 +213,15 @@
   aVm.mUpstream.reset();
 }
 
+void Fleet::silenceUpstream(Vm& aVm)
+{
+  if (aVm.mUpstream != nullptr) {
+    const std::vector<GSocketConnection*> connections = aVm.mUpstream->takeConnections();
+    mSilentConnections.insert(mSilentConnections.end(), connections.begin(), connections.end());
+  }
+  endUpstream(aVm, false);
+}
+
 void Fleet::drainUpstream(Vm& aVm)
 {
   if (aVm.mUpstream != nullptr) {
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -53,6 +53,9 @@
   /// @param aIsPlanned true if its record is removed, false if it expires
   void endUpstream(Vm& aVm, bool aIsPlanned);
 
+  /// @brief Ends the upstream of a VM without closing its open connections. Its record expires.
+  void silenceUpstream(Vm& aVm);
+
   /// @brief Marks the upstream of a VM as leaving.
   void drainUpstream(Vm& aVm);
 
@@ -112,8 +115,9 @@
   bool mDoRecordsExpire = true;
   std::vector<std::unique_ptr<Vm>> mVms; ///< VMs that are gone included
   std::map<const Vm*, Rotation> mRotations;
-  std::map<std::string, unsigned> mUpstreamVmCounts; ///< by zone
-  std::map<std::string, Record> mRecords;            ///< by id
+  std::map<std::string, unsigned> mUpstreamVmCounts;  ///< by zone
+  std::map<std::string, Record> mRecords;             ///< by id
+  std::vector<GSocketConnection*> mSilentConnections; ///< of upstreams that ended silently
   std::vector<std::unique_ptr<Callers>> mCallers;
   std::uint64_t mVersion = 0;
 };
--- a/tests/platform/soak/upstream.hpp
+++ b/tests/platform/soak/upstream.hpp
@@ -7,6 +7,7 @@
 #include <gio/gio.h>
 #include <memory>
 #include <random>
+#include <utility>
 
 namespace cornelcross::soak {
 
@@ -35,6 +36,10 @@
 
   const UpstreamStart& start() const { return mStart; }
 
+  /// @brief Returns the held TCP connections, which then stay open, silent, when this upstream
+  /// ends. The caller owns them.
+  std::vector<GSocketConnection*> takeConnections() { return std::exchange(mHeld, {}); }
+
 private:
   struct Connection
   {
--- a/tests/unit/test_upstream_presence.cpp
+++ b/tests/unit/test_upstream_presence.cpp
@@ -68,6 +68,30 @@
   BOOST_TEST(forwarded->mTo.toString() == agentOf(1).toString());
 }
 
+// Guards against the same if the connection to the upstream stays open when the upstream ends.
+BOOST_AUTO_TEST_CASE(a_new_flow_goes_to_the_next_candidate_once_the_upstream_is_silent)
+{
+  for (const base::Time end = mNow + 2s; mNow < end; mNow += 100ms) {
+    const auto actions = mAgent.onUpstreamChecked(mNow, true, std::nullopt);
+    if (findAction<agent::WatchUpstream>(actions) != nullptr) {
+      mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kRefused);
+    }
+  }
+  mAgent.onUpstreamChecked(mNow, true, std::nullopt);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) == nullptr);
+}
+
+// Guards against the loss of an upstream that sends packets but accepts no further connection.
+BOOST_AUTO_TEST_CASE(an_upstream_that_sends_packets_gets_new_flows)
+{
+  for (const base::Time end = mNow + 5s; mNow < end; mNow += 100ms) {
+    const flow::Endpoint caller{ { 0x0A010101 }, 40000 };
+    mAgent.onUpstreamPacket(mNow, makePacket({ kServiceAddress, caller, flow::kAck, 1, 1, 0 }));
+    mAgent.onUpstreamChecked(mNow, true, std::nullopt);
+  }
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(a_retransmitted_syn_goes_to_the_next_candidate_once_the_upstream_has_ended)
 {
   open(40000);
--- a/tests/unit/test_upstream_watch.cpp
+++ b/tests/unit/test_upstream_watch.cpp
@@ -30,6 +30,24 @@
     }
   }
 
+  /// Checks a connection that stays open, every 100 ms, and makes each attempt that is due.
+  /// @return the number of attempts
+  int passWhileOpen(base::Duration aTime, ConnectionOutcome aOutcome, bool aSendsPackets = false)
+  {
+    int attempts = 0;
+    for (const base::Time end = mNow + aTime; mNow < end; mNow += 100ms) {
+      if (aSendsPackets) {
+        mWatch.onPacket();
+      }
+      mWatch.onConnectionChecked(mNow, true);
+      if (mWatch.startAttempt(mNow)) {
+        mWatch.onAttempt(mNow, aOutcome);
+        ++attempts;
+      }
+    }
+    return attempts;
+  }
+
   base::Time mNow{ 100s };
   agent::UpstreamWatch mWatch{ { 2s, 3600ms, 5s, 2500ms } };
 };
@@ -96,6 +114,71 @@
   BOOST_TEST(mWatch.hasEnded(mNow));
 }
 
+// Guards against opening packets for an upstream that ended without closing its connections, at
+// whose endpoint another service answers.
+BOOST_AUTO_TEST_CASE(a_silent_upstream_has_ended_although_its_connection_stays_open)
+{
+  passWhileOpen(1s, ConnectionOutcome::kAccepted, true);
+  passWhileOpen(2s, ConnectionOutcome::kRefused);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+  passWhileOpen(1s, ConnectionOutcome::kAccepted, true);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+}
+
+// Guards against the same if the VM of the upstream answers nothing.
+BOOST_AUTO_TEST_CASE(an_upstream_that_neither_sends_nor_accepts_has_ended)
+{
+  passWhileOpen(2s, ConnectionOutcome::kFailed);
+  BOOST_TEST(mWatch.hasEnded(mNow));
+}
+
+// Guards against connections to an upstream that serves flows.
+BOOST_AUTO_TEST_CASE(the_packets_of_an_upstream_show_that_it_runs)
+{
+  BOOST_TEST(passWhileOpen(10s, ConnectionOutcome::kRefused, true) == 0);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+}
+
+// Guards against the loss of an upstream without flows, and against many connections to it.
+BOOST_AUTO_TEST_CASE(an_idle_upstream_is_connected_to_at_a_bounded_rate)
+{
+  BOOST_TEST(passWhileOpen(10s, ConnectionOutcome::kAccepted) == 19);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+}
+
+// Guards against a packet of the former upstream that this process reads after a pause.
+BOOST_AUTO_TEST_CASE(a_packet_is_as_old_as_it_may_have_waited_in_the_socket)
+{
+  passWhileOpen(1s, ConnectionOutcome::kAccepted);
+  const base::Time checkedAt = mNow - 100ms;
+  mNow += 800ms;
+  mWatch.onConnectionChecked(mNow, true);
+  mWatch.onPacket();
+  passWhileOpen(1s, ConnectionOutcome::kFailed);
+  BOOST_TEST(!mWatch.hasEnded(checkedAt + 1999ms));
+  BOOST_TEST(mWatch.hasEnded(checkedAt + 2s));
+}
+
+// Guards against an accepted connection that is dated after the end of the upstream.
+BOOST_AUTO_TEST_CASE(a_connection_is_as_old_as_the_start_of_its_attempt)
+{
+  mNow += 1s;
+  mWatch.onConnectionChecked(mNow, false);
+  BOOST_REQUIRE(mWatch.startAttempt(mNow));
+  mWatch.onAttempt(mNow + 400ms, ConnectionOutcome::kAccepted);
+  BOOST_TEST(!mWatch.hasEnded(mNow + 1999ms));
+  BOOST_TEST(mWatch.hasEnded(mNow + 2s));
+}
+
+// Guards against the loss of a living upstream by a pause of the agent.
+BOOST_AUTO_TEST_CASE(an_upstream_whose_connection_outlasts_a_pause_of_the_agent_runs)
+{
+  passWhileOpen(1s, ConnectionOutcome::kAccepted);
+  mNow += 4s;
+  mWatch.onConnectionChecked(mNow, true);
+  BOOST_TEST(!mWatch.hasEnded(mNow));
+}
+
 BOOST_AUTO_TEST_CASE(another_listed_start_is_watched_anew)
 {
   pass(3s, ConnectionOutcome::kRefused);
