Agent: a start of the first configuration gets no flow unproven

Cause: the first configuration of a restarted agent lists an ended upstream until its record expires. The watch of the agent took a start that is listed for the first time for running, and the accepted connection of the next upstream for a second proof. The refusal that the agent had seen at its start did not reach the watch.

Fix: a start that was listed before the configuration was confirmed for the first time must accept a connection, and has ended if its endpoint refused one before. The settings are read again after each accepted connection. A start that a later configuration lists first counts as running, as before. So that a living upstream is not lost for 11 s, the agent reads the record of an upstream that counts as ended while a process answers at its endpoint; a record that was written again since the read before proves, without clocks, that the start ran at that read.

The fixture of test_upstream_watch states that the configuration is confirmed, which its cases took for granted. The stand-in of the store observes the prefix of a list. Three actions are built in order instead of inserted at the front: with another alternative of Action, gcc 12 warns of the insertion in release builds.

--- a/src/agent/actions.hpp
+++ b/src/agent/actions.hpp
@@ -77,6 +77,15 @@
   auto operator<=>(const WatchUpstream&) const = default;
 };
 
+/// @brief Reads the record of the upstream from the configuration service. The response is passed
+/// to FlowManager::onUpstreamRecord().
+struct ReadUpstreamRecord
+{
+  std::string mUpstream; ///< its name
+
+  auto operator<=>(const ReadUpstreamRecord&) const = default;
+};
+
 /// @brief Drops the packet.
 struct DropPacket
 {
@@ -92,7 +101,8 @@
                             DropPacket,
                             telemetry::Event,
                             ConnectToUpstream,
-                            WatchUpstream>;
+                            WatchUpstream,
+                            ReadUpstreamRecord>;
 
 /// @brief Operations in the order in which Runtime performs them.
 using Actions = std::vector<Action>;
--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -345,17 +345,15 @@
   if (!mUpstreamQueries.start(aNow, aPacket.keyFromCaller(), isDecisive)) {
     return { DropPacket{ DropReason::kNoOwner } };
   }
-  Actions actions;
+  Actions actions{ DeliverToUpstream{ mUpstream->mAddress, aForward.mPacket } };
   if (aPacket.mPayloadLength == 0 && !aPacket.has(flow::kFin) && !aPacket.has(flow::kRst)) {
     // An upstream does not answer an acceptable bare ACK, but answers a segment before its window
     // (RFC 9293, section 3.10.7.4). The answer reveals at once the owner of a flow in which only
     // the caller sends.
-    flow::Bytes belowWindow = aForward.mPacket;
+    flow::Bytes belowWindow = std::move(aForward.mPacket);
     mPacketFormat.mSetSequence(belowWindow, aPacket, aPacket.mSequence - 1);
     actions.emplace_back(DeliverToUpstream{ mUpstream->mAddress, std::move(belowWindow) });
   }
-  actions.insert(actions.begin(),
-                 DeliverToUpstream{ mUpstream->mAddress, std::move(aForward.mPacket) });
   return actions;
 }
 
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -24,6 +24,17 @@
 /// @brief The agent process, which owns the flows of the upstream that runs beside it.
 namespace cornelcross::agent {
 
+/// @brief What an agent process observes of its upstream.
+struct UpstreamCheck
+{
+  bool mIsConnected = false; ///< the connection to it is open
+  bool mIsConfirmed = false; ///< the active configuration is confirmed
+  std::optional<base::Time>
+    mServiceRespondedAt = {}; ///< last response of the configuration service
+
+  auto operator<=>(const UpstreamCheck&) const = default;
+};
+
 /// @brief Admits new flows to the upstream, delivers the packets of owned flows and forwards all
 /// other packets to the next candidate. Deterministic: has no clock, socket, thread or random
 /// source.
@@ -74,12 +85,9 @@
                               flow::Endpoint aEndpoint,
                               flow::ConnectionOutcome aOutcome);
 
-  /// @brief Applies whether the connection to the upstream is open, and when the configuration
-  /// service last responded to any process. Called about every 100 ms, and before a packet if that
-  /// is longer ago.
-  Actions onUpstreamChecked(base::Time aNow,
-                            bool aIsConnected,
-                            std::optional<base::Time> aServiceRespondedAt);
+  /// @brief Applies what the process observes of its upstream. Called about every 100 ms, and
+  /// before a packet if that is longer ago.
+  Actions onUpstreamChecked(base::Time aNow, const UpstreamCheck& aCheck);
 
   /// @brief True if the settings state this service and endpoint of the upstream.
   bool isBeside(const std::string& aService, const std::optional<flow::Endpoint>& aUpstream) const
@@ -98,6 +106,9 @@
   /// @brief Handles the outcome of an attempt to connect to the upstream and hold the connection.
   Actions onWatchAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome);
 
+  /// @brief Handles the record of the upstream; empty if the configuration service did not respond.
+  Actions onUpstreamRecord(base::Time aNow, const std::optional<config::UpstreamRecord>& aRecord);
+
   /// @brief Handles an IP packet that the upstream sent to a caller or returned.
   Actions onUpstreamPacket(base::Time aNow, flow::Bytes aPacket);
 
--- a/src/agent/new_flows.cpp
+++ b/src/agent/new_flows.cpp
@@ -27,11 +27,9 @@
     return onSynAfterEnd(aNow, aPacket, std::move(aForward), *record);
   }
   if (isReuse && record->mState == FlowState::kClosing) {
-    const telemetry::Event closed =
-      closeFlow(aNow, aPacket.keyFromCaller(), *record, "port_reused");
+    Actions actions{ closeFlow(aNow, aPacket.keyFromCaller(), *record, "port_reused") };
     mFlows.erase(aPacket.keyFromCaller());
-    Actions actions = onNewFlow(aNow, aPacket, std::move(aForward));
-    actions.insert(actions.begin(), closed);
+    append(actions, onNewFlow(aNow, aPacket, std::move(aForward)));
     return actions;
   }
   // The SYN is a retransmission, or arrives in an open connection. The upstream's TCP answers a SYN
--- a/src/agent/ownership.cpp
+++ b/src/agent/ownership.cpp
@@ -58,6 +58,9 @@
 {
   const std::string_view before = mEvidence.describe(aNow);
   mEvidence.onAttempt(aEndpoint, aOutcome);
+  if (aOutcome == flow::ConnectionOutcome::kRefused && aEndpoint == mSettings.mUpstreamAddress) {
+    mUpstreamWatch.onRefusal();
+  }
   const std::string_view after = mEvidence.describe(aNow);
   if (before == after) {
     return {};
--- a/src/agent/runtime.cpp
+++ b/src/agent/runtime.cpp
@@ -92,6 +92,7 @@
   if (mFlowManager.isBeside(aUpdate.mService, aUpdate.mUpstream)) {
     return;
   }
+  ++mUpstreamChanges;
   mWatchConnection.cancel();
   perform(mFlowManager.setUpstream(now, aUpdate.mService, aUpdate.mUpstream));
   mSocket.flush();
@@ -167,7 +168,9 @@
   mLastUpstreamCheck = aNow;
   const auto age = mMembership.serviceAge(aNow);
   const auto respondedAt = age ? std::optional(aNow - *age) : std::nullopt;
-  perform(mFlowManager.onUpstreamChecked(aNow, mWatchConnection.isConnected(), respondedAt));
+  const bool isConnected = mWatchConnection.isConnected();
+  perform(
+    mFlowManager.onUpstreamChecked(aNow, { isConnected, mMembership.isConfirmed(), respondedAt }));
 }
 
 // After a pause of the process, the check goes before all other uses of what it decides.
@@ -355,11 +358,35 @@
 
 void Runtime::perform(const WatchUpstream& aAction)
 {
-  mWatchConnection.start(aAction.mTo, [this](flow::ConnectionOutcome aOutcome) {
-    const base::Time now = net::MainLoop::now();
-    checkUpstreamIfOverdue(now);
+  mWatchConnection.start(aAction.mTo,
+                         [this](flow::ConnectionOutcome aOutcome) { onWatchAttempt(aOutcome); });
+}
+
+// The settings may have named another upstream before the process that accepted the connection
+// started.
+void Runtime::onWatchAttempt(flow::ConnectionOutcome aOutcome)
+{
+  const base::Time now = net::MainLoop::now();
+  const std::uint64_t changes = mUpstreamChanges;
+  checkUpstreamIfOverdue(now);
+  if (aOutcome == flow::ConnectionOutcome::kAccepted) {
+    mMembership.reloadSettings();
+  }
+  if (changes == mUpstreamChanges) {
     perform(mFlowManager.onWatchAttempt(now, aOutcome));
-  });
+  }
+}
+
+void Runtime::perform(const ReadUpstreamRecord& aAction)
+{
+  const auto onRecord = [this](const std::optional<config::UpstreamRecord>& aRecord) {
+    perform(mFlowManager.onUpstreamRecord(net::MainLoop::now(), aRecord));
+  };
+  if (mHooks.mReadUpstreamRecord) {
+    mHooks.mReadUpstreamRecord(aAction.mUpstream, onRecord);
+  } else {
+    onRecord(std::nullopt);
+  }
 }
 
 nlohmann::json Runtime::status() const
--- a/src/agent/runtime.hpp
+++ b/src/agent/runtime.hpp
@@ -63,9 +63,11 @@
   void perform(const telemetry::Event& aEvent);
   void perform(const ConnectToUpstream& aAction);
   void perform(const WatchUpstream& aAction);
+  void perform(const ReadUpstreamRecord& aAction);
   void checkUpstream(base::Time aNow);
   void checkUpstreamIfOverdue(base::Time aNow);
   net::DeploymentHooks applyingReloads(net::DeploymentHooks aHooks);
+  void onWatchAttempt(flow::ConnectionOutcome aOutcome);
   void applyUpstreamSettings(const net::SettingsUpdate& aUpdate);
   void onConfiguration(config::ConfigurationPtr aConfiguration);
   nlohmann::json status() const;
@@ -85,6 +87,7 @@
   net::ConnectionAttempt mConnectionAttempt;
   net::ConnectionAttempt mWatchConnection;
   base::Time mLastUpstreamCheck;
+  std::uint64_t mUpstreamChanges = 0; ///< changes of the settings of the upstream
   AgentMetrics mAgentMetrics;
   telemetry::ConfigMetrics mConfigMetrics;
   telemetry::RecentEvents mRecentRefusals;
--- a/src/agent/uneven_upstream.cpp
+++ b/src/agent/uneven_upstream.cpp
@@ -8,7 +8,7 @@
 bool FlowManager::upstreamAcceptsNewFlows(base::Time aNow) const
 {
   return mUpstreamHealth.acceptsNewFlows(aNow) && mFlapDetector.acceptsNewFlows(aNow) &&
-         !mUpstreamWatch.hasEnded(aNow);
+         mUpstreamWatch.mayReceiveFlows(aNow);
 }
 
 void FlowManager::recordUpstreamAccepts(base::Time aNow, Actions& aActions)
--- a/src/agent/upstream_packets.cpp
+++ b/src/agent/upstream_packets.cpp
@@ -53,10 +53,9 @@
   FlowRecord& record = mFlows.insert(key, adopted);
   mUpstreamQueries.erase(key);
   mAdmission.onFlowAdopted(aNow);
-  Actions actions = onUpstreamSegment(aNow, record, aPacket, std::move(aBytes));
-  actions.insert(
-    actions.begin(),
-    telemetry::Event{ telemetry::EventKind::kFlowAdopted, { { "flow", key.toString() } } });
+  Actions actions{ telemetry::Event{ telemetry::EventKind::kFlowAdopted,
+                                     { { "flow", key.toString() } } } };
+  append(actions, onUpstreamSegment(aNow, record, aPacket, std::move(aBytes)));
   return actions;
 }
 
--- a/src/agent/upstream_presence.cpp
+++ b/src/agent/upstream_presence.cpp
@@ -20,21 +20,32 @@
   return actions;
 }
 
-Actions FlowManager::onUpstreamChecked(base::Time aNow,
-                                       bool aIsConnected,
-                                       std::optional<base::Time> aServiceRespondedAt)
+Actions FlowManager::onUpstreamChecked(base::Time aNow, const UpstreamCheck& aCheck)
 {
-  mUpstreamWatch.onConnectionChecked(aNow, aIsConnected);
-  if (aServiceRespondedAt) {
-    mUpstreamWatch.onServiceResponse(aNow, *aServiceRespondedAt);
+  mUpstreamWatch.onConnectionChecked(aNow, aCheck.mIsConnected);
+  if (aCheck.mIsConfirmed) {
+    mUpstreamWatch.onConfirmed();
+  }
+  if (aCheck.mServiceRespondedAt) {
+    mUpstreamWatch.onServiceResponse(aNow, *aCheck.mServiceRespondedAt);
   }
   Actions actions = presenceEvents(aNow);
   if (mSettings.mUpstreamAddress && mUpstreamWatch.startAttempt(aNow)) {
     actions.emplace_back(WatchUpstream{ *mSettings.mUpstreamAddress });
   }
+  if (mUpstream && mUpstreamWatch.startRecordRead(aNow)) {
+    actions.emplace_back(ReadUpstreamRecord{ mUpstream->mName });
+  }
   return actions;
 }
 
+Actions FlowManager::onUpstreamRecord(base::Time aNow,
+                                      const std::optional<config::UpstreamRecord>& aRecord)
+{
+  mUpstreamWatch.onRecord(aNow, aRecord);
+  return presenceEvents(aNow);
+}
+
 Actions FlowManager::onWatchAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome)
 {
   mUpstreamWatch.onAttempt(aNow, aOutcome);
@@ -58,7 +69,8 @@
 // serve another service.
 bool FlowManager::mayReceiveSyn(base::Time aNow) const
 {
-  return mUpstream->mState != config::UpstreamState::kRemoved && !mUpstreamWatch.hasEnded(aNow);
+  return mUpstream->mState != config::UpstreamState::kRemoved &&
+         mUpstreamWatch.mayReceiveFlows(aNow);
 }
 
 Actions FlowManager::onSynAfterEnd(base::Time aNow,
--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -1,5 +1,7 @@
 #include "agent/upstream_watch.hpp"
 
+#include "config/revision.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -22,7 +24,8 @@
 } // namespace
 
 // A record is written by a running upstream, so a start that is listed for the first time counts as
-// running. A start that has ended may be listed again by a configuration that is older.
+// running, unless it may have been listed for long. A start that has ended may be listed again by a
+// configuration that is older.
 void UpstreamWatch::list(base::Time aNow, std::optional<ListedStart> aStart)
 {
   if (aStart == mStart) {
@@ -31,10 +34,20 @@
   mFormerEndedStart = hasEnded(aNow) ? mStart : mFormerEndedStart;
   mStart = aStart;
   mIsAttemptOutdated = mIsAttempting;
+  mIsReadOutdated = mIsReading;
+  mLastRead.reset();
   reset(aNow);
+  mIsUnproven = !mIsConfirmed;
+  mIsRefused = mIsUnproven && mHasSeenRefusal;
   mHasEnded = aStart && aStart == mFormerEndedStart;
 }
 
+void UpstreamWatch::onRefusal()
+{
+  mHasSeenRefusal = true;
+  mIsRefused = mIsRefused || mIsUnproven;
+}
+
 void UpstreamWatch::reset(base::Time aNow)
 {
   mHasEnded = false;
@@ -53,6 +66,12 @@
   return mHasEnded || (isWatched && (hasRefused || aNow - mLastRunningAt >= mSettings.mReuseDelay));
 }
 
+bool UpstreamWatch::mayReceiveFlows(base::Time aNow) const
+{
+  const bool isUnproven = isEnabled() && mStart && mIsUnproven && !mHasRun;
+  return !isUnproven && !hasEnded(aNow);
+}
+
 void UpstreamWatch::confirmRunning(base::Time aAt)
 {
   mHasRun = true;
@@ -71,7 +90,7 @@
   }
   mHasEnded = hasEnded(aNow);
   mIsOpen = aIsOpen;
-  if (std::exchange(mHasSentPacket, false) && !mHasEnded) {
+  if (std::exchange(mHasSentPacket, false) && mHasRun && !mHasEnded) {
     confirmRunning(mPreviousCheckAt);
   }
   if (aNow - mLastCheckAt >= kMinCheckInterval) {
@@ -86,12 +105,14 @@
 {
   const base::Time startedAt = std::exchange(mIsAttempting, false) ? mAttemptStartedAt : aNow;
   const bool isAccepted = aOutcome == flow::ConnectionOutcome::kAccepted;
-  mNextAttemptAt = aNow + (isAccepted ? mSettings.mReuseDelay / kAttemptsPerReuseDelay
-                                      : base::Duration(kRetryInterval));
+  const bool isRefused = aOutcome == flow::ConnectionOutcome::kRefused;
+  mIsAnswered = isAccepted;
+  mHasSeenRefusal = mHasSeenRefusal || isRefused;
+  mNextAttemptAt = aNow + (isAccepted ? acceptedInterval() : base::Duration(kRetryInterval));
   if (std::exchange(mIsAttemptOutdated, false)) {
     return;
   }
-  mIsRefused = mIsRefused || aOutcome == flow::ConnectionOutcome::kRefused;
+  mIsRefused = mIsRefused || isRefused;
   mHasEnded = hasEnded(aNow);
   mIsOpen = mIsOpen || isAccepted;
   if (isAccepted && !mHasEnded) {
@@ -111,14 +132,63 @@
   }
   mExpiredSince = mExpiredSince.value_or(aNow);
   if (aNow - *mExpiredSince >= mSettings.mPropagation + mSettings.mMaxResponseAge) {
-    reset(aNow);
+    revive(aNow);
+  }
+}
+
+void UpstreamWatch::revive(base::Time aRunningAt)
+{
+  reset(aRunningAt);
+  mFormerEndedStart = mFormerEndedStart == mStart ? std::nullopt : mFormerEndedStart;
+  mNextAttemptAt = aRunningAt;
+}
+
+// While no process answers at the endpoint, the listed start cannot serve.
+bool UpstreamWatch::startRecordRead(base::Time aNow)
+{
+  if (!mStart || !hasEnded(aNow) || !mIsAnswered || mIsReading || aNow < mNextReadAt) {
+    return false;
   }
+  mIsReading = true;
+  mReadStartedAt = aNow;
+  return true;
+}
+
+// What the service wrote after its response to a read, it wrote after the read started.
+bool UpstreamWatch::isRenewed(const config::UpstreamRecord& aRecord) const
+{
+  const bool isSameStart = aRecord.mStartedAtMs == mStart->mStartedAtMs;
+  const bool isSameEpoch =
+    mLastRead && config::epochOf(mLastRead->mServiceRevision) == config::epochOf(aRecord.mRevision);
+  return isSameStart && isSameEpoch && aRecord.mRevision > mLastRead->mServiceRevision;
+}
+
+// Only the start itself renews its record, and nobody else has its endpoint for the reuse delay
+// after that.
+void UpstreamWatch::onRecord(base::Time aNow, const std::optional<config::UpstreamRecord>& aRecord)
+{
+  mIsReading = false;
+  mNextReadAt = aNow + acceptedInterval();
+  if (std::exchange(mIsReadOutdated, false) || !aRecord) {
+    return;
+  }
+  mHasEnded = hasEnded(aNow);
+  if (mHasEnded && isRenewed(*aRecord) && aNow - mLastRead->mStartedAt < mSettings.mReuseDelay) {
+    revive(mLastRead->mStartedAt);
+    mHasRun = true;
+  }
+  mLastRead = RecordRead{ mReadStartedAt, aRecord->mServiceRevision };
+}
+
+/// Interval of the attempts while the endpoint accepts them.
+base::Duration UpstreamWatch::acceptedInterval() const
+{
+  return mSettings.mReuseDelay / kAttemptsPerReuseDelay;
 }
 
 bool UpstreamWatch::startAttempt(base::Time aNow)
 {
-  const base::Duration renewalTime = mSettings.mReuseDelay / kAttemptsPerReuseDelay;
-  const bool isCurrent = mIsOpen && (mHasEnded || aNow - mLastRunningAt < renewalTime);
+  const bool isCurrent = mIsOpen && !mHasEnded && aNow - mLastRunningAt < acceptedInterval();
   if (!isEnabled() || !mStart || isCurrent || mIsAttempting || aNow < mNextAttemptAt) {
     return false;
   }
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "config/upstream_record.hpp"
 #include "flow/connection_outcome.hpp"
 
 #include <compare>
@@ -44,6 +45,11 @@
 /// An open connection alone proves nothing: it may stay open when its peer has ended without
 /// closing it. The upstream must send a packet or accept another connection within the reuse delay.
 ///
+/// Nor does a listing prove that its start runs while the configuration is not confirmed: the start
+/// may have ended before this process started. It must accept a connection, and its endpoint must
+/// not have refused one before. That an ended start runs after all is proved by its record, if the
+/// record was written again since an earlier read.
+///
 /// Deterministic: the caller passes the current time to each call.
 class UpstreamWatch
 {
@@ -60,6 +66,13 @@
   /// @brief Records that the upstream sent a packet.
   void onPacket() { mHasSentPacket = true; }
 
+  /// @brief Records that an attempt to connect that this object did not start was refused.
+  void onRefusal();
+
+  /// @brief Records that the active configuration was confirmed as current. A start that is listed
+  /// for the first time later is newer than the refusals before.
+  void onConfirmed() { mIsConfirmed = true; }
+
   /// @brief Records the outcome of an attempt to connect.
   void onAttempt(base::Time aNow, flow::ConnectionOutcome aOutcome);
 
@@ -69,12 +82,31 @@
   /// @brief True if a connection to the endpoint is to be tried now; records the attempt.
   bool startAttempt(base::Time aNow);
 
+  /// @brief True if the record of the listed start is to be read now; records the read.
+  bool startRecordRead(base::Time aNow);
+
+  /// @brief Applies the record that was read; empty if there was no response.
+  void onRecord(base::Time aNow, const std::optional<config::UpstreamRecord>& aRecord);
+
   /// @brief True if the listed start has ended and its endpoint may belong to another service.
   bool hasEnded(base::Time aNow) const;
 
+  /// @brief True if the process at the endpoint is the listed start. True if nothing is watched.
+  bool mayReceiveFlows(base::Time aNow) const;
+
 private:
+  /// Earlier read of the record.
+  struct RecordRead
+  {
+    base::Time mStartedAt;
+    std::uint64_t mServiceRevision = 0;
+  };
+
   void reset(base::Time aNow);
+  void revive(base::Time aRunningAt);
+  bool isRenewed(const config::UpstreamRecord& aRecord) const;
   void confirmRunning(base::Time aAt);
+  base::Duration acceptedInterval() const;
   bool isEnabled() const { return mSettings.mReuseDelay > base::Duration::zero(); }
 
   UpstreamWatchSettings mSettings;
@@ -88,11 +120,21 @@
   base::Time mAttemptStartedAt;
   bool mIsAttemptOutdated = false; ///< the attempt in progress is for a start listed before
   bool mHasRun = false;            ///< the listed start was seen running
+  bool mIsAnswered = false;        ///< the last attempt was accepted
   bool mIsRefused = false; ///< an attempt was refused since the listed start was last known to run
-  base::Time mLastRunningAt; ///< the listed start ran at this time or later
+  bool mHasSeenRefusal = false; ///< an attempt was refused since this object exists
+  bool mIsConfirmed = false;    ///< the configuration was confirmed since this object exists
+  bool mIsUnproven = false;     ///< the listed start was listed before that
+  base::Time mLastRunningAt;    ///< the listed start ran at this time or later
   base::Time mNextAttemptAt;
   bool mHasEnded = false;
 
+  bool mIsReading = false;
+  bool mIsReadOutdated = false; ///< the read in progress is for a start listed before
+  base::Time mReadStartedAt;
+  base::Time mNextReadAt;
+  std::optional<RecordRead> mLastRead; ///< of the record of the listed start
+
   /// Since then the record of the ended start would have expired and the configuration service has
   /// responded without interruption.
   std::optional<base::Time> mExpiredSince;
--- a/src/membership/runtime.cpp
+++ b/src/membership/runtime.cpp
@@ -102,6 +102,9 @@
 
 void Runtime::reloadSettings()
 {
+  if (!mReloadSettings) {
+    return;
+  }
   const net::SettingsReloadResult result = mReloadSettings();
   if (const auto* error = std::get_if<net::SettingsError>(&result)) {
     mLog.write({ EventKind::kSettingsRejected, { { "error", error->mReason } } });
--- a/src/membership/runtime.hpp
+++ b/src/membership/runtime.hpp
@@ -62,6 +62,12 @@
   /// until the active revision is confirmed.
   bool mayForward();
 
+  /// @brief Applies changed settings, if any.
+  void reloadSettings();
+
+  /// @brief True if the active revision is confirmed, as of the last pause that was detected.
+  bool isConfirmed() const { return mSync.mayForward(); }
+
   /// @brief Sends a message. Queues a control message that exceeds the budget; sends a forwarded
   /// packet at once.
   void send(flow::Endpoint aTo, const wire::Message& aMessage);
@@ -83,7 +89,6 @@
   void perform(const ReadService& aAction);
   void perform(const telemetry::Event& aEvent);
   void sendAll(std::vector<ControlDatagram> aDatagrams);
-  void reloadSettings();
   void activate(config::ConfigurationPtr aConfiguration);
   void expireRetainedRoutes(base::Time aNow);
   net::DocumentSource makeDocumentSource(const net::DocumentSourceFactory& aFactory);
--- a/src/net/deployment_hooks.hpp
+++ b/src/net/deployment_hooks.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/upstream_record.hpp"
 #include "flow/packet_format.hpp"
 #include "net/document_source.hpp"
 #include "net/settings_reload_result.hpp"
@@ -39,6 +40,12 @@
   /// settings name.
   DocumentSourceFactory mDocumentSource;
 
+  /// Reads the record of the upstream with a name, one read at a time, and passes what the
+  /// configuration service states of it; empty without a response. Empty if it cannot be read.
+  std::function<void(const std::string&,
+                     std::function<void(const std::optional<config::UpstreamRecord>&)>)>
+    mReadUpstreamRecord;
+
   /// Reloads the settings; called on SIGHUP and every few seconds. Empty if they cannot change.
   std::function<SettingsReloadResult()> mReloadSettings;
 
--- a/tests/platform/soak/faults.cpp
+++ b/tests/platform/soak/faults.cpp
@@ -33,7 +33,8 @@
              { "freeze_program", [this] { freezeProgram(); } },
              { "stop_store", [this] { stopStore(); } },
              { "change_configuration", [this] { mFleet.changeConfiguration(); } },
-             { "replace_silent_upstream", [this] { replaceSilentUpstreamInPlace(); }, true } };
+             { "replace_silent_upstream", [this] { replaceSilentUpstreamInPlace(); }, true },
+             { "restart_agent_before_reuse", [this] { restartAgentBeforeReuse(); }, true } };
   for (const std::string& name : aKinds) {
     const auto isNamed = [&](const Kind& aKind) { return aKind.mName == name; };
     if (std::none_of(mKinds.begin(), mKinds.end(), isNamed)) {
@@ -169,6 +170,19 @@
   after(kReuseAfter + upTo(200ms), [this, vm] { startNextUpstream(*vm); });
 }
 
+// The agent starts again while nobody answers at the endpoint, mostly, and the record of the former
+// upstream has not expired.
+void Faults::restartAgentBeforeReuse()
+{
+  Vm* vm = pickUpstreamVm();
+  if (vm == nullptr) {
+    return;
+  }
+  mFleet.endUpstream(*vm, false);
+  after(kReuseAfter - 600ms + upTo(300ms), [vm] { vm->signal(SIGKILL); });
+  after(kReuseAfter + upTo(50ms), [this, vm] { startNextUpstream(*vm); });
+}
+
 void Faults::restartUpstream()
 {
   Vm* vm = pickUpstreamVm();
--- a/tests/platform/soak/faults.hpp
+++ b/tests/platform/soak/faults.hpp
@@ -40,6 +40,7 @@
   void startNextUpstream(Vm& aVm);
   void replaceUpstreamInPlace();
   void replaceSilentUpstreamInPlace();
+  void restartAgentBeforeReuse();
   void restartUpstream();
   void killProgram();
   void terminateProgram();
--- a/tests/platform/store/store_content.cpp
+++ b/tests/platform/store/store_content.cpp
@@ -106,8 +106,11 @@
     body["items"] = Json::array();
     const auto after = query.find("after");
     auto item = after == query.end() ? mItems.begin() : mItems.upper_bound(after->second);
+    const auto prefix = query.find("prefix");
     for (; item != mItems.end() && body["items"].size() < mPageSize; ++item) {
-      body["items"].push_back(toJson(item->second));
+      if (prefix == query.end() || item->first.starts_with(prefix->second)) {
+        body["items"].push_back(toJson(item->second));
+      }
     }
     body["morePages"] = item != mItems.end();
   } else {
--- a/tests/unit/test_upstream_presence.cpp
+++ b/tests/unit/test_upstream_presence.cpp
@@ -11,17 +11,9 @@
 
 namespace {
 
-/// Agent that has lost the connection to its upstream, whose VM refuses further ones. The
-/// configuration still lists the upstream.
-struct EndedUpstream
+/// Agent beside an upstream, and a caller.
+struct WatchingAgent
 {
-  EndedUpstream()
-  {
-    mAgent.apply(mNow, share(makeConfiguration(3)));
-    mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kAccepted);
-    mAgent.onUpstreamChecked(mNow, true, std::nullopt);
-  }
-
   agent::Actions open(std::uint16_t aPort)
   {
     wire::Forward forward;
@@ -34,21 +26,47 @@
     return mAgent.onForward(mNow, mAgent.revision(), forward);
   }
 
+  base::Time mNow{ 100s };
+  flow::Endpoint mUpstream{ agentOf(0).mAddress, 7001 };
+  agent::FlowManager mAgent{ { .mSelf = agentOf(0),
+                               .mService = "logbook",
+                               .mUpstreamAddress = mUpstream,
+                               .mUpstreamAcceptsTcp = true,
+                               .mUpstreamWatch = { 2s, 3600ms, 5s, 2500ms },
+                               .mRecoveryWindow = {} } };
+};
+
+/// Agent that has lost the connection to its upstream, whose VM refuses further ones. The
+/// configuration still lists the upstream.
+struct EndedUpstream : WatchingAgent
+{
+  EndedUpstream()
+  {
+    mAgent.apply(mNow, share(makeConfiguration(3)));
+    mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kAccepted);
+    mAgent.onUpstreamChecked(mNow, { true, true });
+  }
+
   agent::Actions end()
   {
-    mAgent.onUpstreamChecked(mNow, false, std::nullopt);
+    mAgent.onUpstreamChecked(mNow, { false, true });
     mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kRefused);
     mNow += 2s;
     return mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kAccepted);
   }
+};
 
-  base::Time mNow{ 100s };
-  agent::FlowManager mAgent{ { .mSelf = agentOf(0),
-                               .mService = "logbook",
-                               .mUpstreamAddress = flow::Endpoint{ agentOf(0).mAddress, 7001 },
-                               .mUpstreamAcceptsTcp = true,
-                               .mUpstreamWatch = { 2s, 3600ms, 5s, 2500ms },
-                               .mRecoveryWindow = {} } };
+/// Agent that was restarted when no process answered at the endpoint of its upstream, which the
+/// first configuration lists. Now a process answers there.
+struct RestartedAgent : WatchingAgent
+{
+  RestartedAgent()
+  {
+    mAgent.onConnectionAttempt(mNow, mUpstream, flow::ConnectionOutcome::kRefused);
+    mAgent.apply(mNow, share(makeConfiguration(3)));
+    mAgent.onUpstreamChecked(mNow, { false, true });
+    mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kAccepted);
+  }
 };
 
 } // namespace
@@ -72,12 +90,12 @@
 BOOST_AUTO_TEST_CASE(a_new_flow_goes_to_the_next_candidate_once_the_upstream_is_silent)
 {
   for (const base::Time end = mNow + 2s; mNow < end; mNow += 100ms) {
-    const auto actions = mAgent.onUpstreamChecked(mNow, true, std::nullopt);
+    const auto actions = mAgent.onUpstreamChecked(mNow, { true, true });
     if (findAction<agent::WatchUpstream>(actions) != nullptr) {
       mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kRefused);
     }
   }
-  mAgent.onUpstreamChecked(mNow, true, std::nullopt);
+  mAgent.onUpstreamChecked(mNow, { true, true });
   BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) == nullptr);
 }
 
@@ -87,7 +105,7 @@
   for (const base::Time end = mNow + 5s; mNow < end; mNow += 100ms) {
     const flow::Endpoint caller{ { 0x0A010101 }, 40000 };
     mAgent.onUpstreamPacket(mNow, makePacket({ kServiceAddress, caller, flow::kAck, 1, 1, 0 }));
-    mAgent.onUpstreamChecked(mNow, true, std::nullopt);
+    mAgent.onUpstreamChecked(mNow, { true, true });
   }
   BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) != nullptr);
 }
@@ -100,6 +118,29 @@
   BOOST_TEST(mAgent.flows().size() == 0U);
 }
 
+// Guards against the same if the agent was restarted: nobody answered at its start, and the first
+// configuration still lists the upstream.
+BOOST_FIXTURE_TEST_CASE(a_restarted_agent_forwards_flows_of_an_upstream_that_refused_before,
+                        RestartedAgent)
+{
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) == nullptr);
+}
+
+// Guards against the loss of a living upstream that refused that connection.
+BOOST_FIXTURE_TEST_CASE(a_restarted_agent_serves_an_upstream_whose_record_is_written_again,
+                        RestartedAgent)
+{
+  const auto actions = mAgent.onUpstreamChecked(mNow, { true, true });
+  const auto* read = findAction<agent::ReadUpstreamRecord>(actions);
+  BOOST_REQUIRE(read != nullptr);
+  BOOST_TEST(read->mUpstream == "logbook-1");
+  mAgent.onUpstreamRecord(mNow, config::UpstreamRecord{ 0, 10, 12 });
+  mNow += 500ms;
+  mAgent.onUpstreamChecked(mNow, { true, true });
+  mAgent.onUpstreamRecord(mNow, config::UpstreamRecord{ 0, 13, 14 });
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(another_start_in_the_configuration_is_served)
 {
   end();
@@ -121,7 +162,7 @@
   agent::FlowManager agent(
     { .mSelf = agentOf(0), .mService = "logbook", .mUpstreamWatch = { 2s, 3600ms, 5s, 2500ms } });
   agent.apply(mNow, share(makeConfiguration(3)));
-  BOOST_TEST(findAction<telemetry::Event>(agent.onUpstreamChecked(mNow + 10s, false, {})) ==
+  BOOST_TEST(findAction<telemetry::Event>(agent.onUpstreamChecked(mNow + 10s, { false, true })) ==
              nullptr);
 }
 
@@ -136,7 +177,8 @@
                                      { "ended", "yes" },
                                      { "revision", "1" } } };
   BOOST_TEST((*event == expected));
-  BOOST_TEST(findAction<telemetry::Event>(mAgent.onUpstreamChecked(mNow, true, {})) == nullptr);
+  BOOST_TEST(findAction<telemetry::Event>(mAgent.onUpstreamChecked(mNow, { true, true })) ==
+             nullptr);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/test_upstream_watch.cpp
+++ b/tests/unit/test_upstream_watch.cpp
@@ -1,4 +1,5 @@
 #include "agent/upstream_watch.hpp"
+#include "config/revision.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,11 +13,12 @@
 const agent::ListedStart kStart{ 7, 1000 };
 const agent::ListedStart kNextStart{ 7, 5000 };
 
-/// Watch of a listed upstream whose connection is open.
+/// Watch of a listed upstream whose connection is open, by a confirmed configuration.
 struct Fixture
 {
   Fixture()
   {
+    mWatch.onConfirmed();
     mWatch.list(mNow, kStart);
     mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
   }
@@ -48,8 +50,20 @@
     return attempts;
   }
 
+  /// Reads the record every 500 ms while a process answers at the endpoint.
+  void read(agent::UpstreamWatch& aWatch, const std::vector<config::UpstreamRecord>& aRecords)
+  {
+    for (const config::UpstreamRecord& record : aRecords) {
+      aWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+      BOOST_REQUIRE(aWatch.startRecordRead(mNow));
+      aWatch.onRecord(mNow, record);
+      mNow += 500ms;
+    }
+  }
+
   base::Time mNow{ 100s };
   agent::UpstreamWatch mWatch{ { 2s, 3600ms, 5s, 2500ms } };
+  agent::UpstreamWatch mRestarted{ { 2s, 3600ms, 5s, 2500ms } }; ///< that of a restarted agent
 };
 
 } // namespace
@@ -261,6 +275,111 @@
   BOOST_TEST(mWatch.hasEnded(mNow + 100ms));
 }
 
+// Guards against opening packets of an agent that was restarted after the end of its upstream: a
+// configuration of a peer still lists it, and another service answers at the endpoint.
+BOOST_AUTO_TEST_CASE(a_start_that_the_first_configuration_lists_after_a_refusal_has_ended)
+{
+  mRestarted.onRefusal();
+  mRestarted.list(mNow, kStart);
+  mRestarted.onConfirmed();
+  BOOST_TEST(mRestarted.hasEnded(mNow));
+  mRestarted.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  mRestarted.onPacket();
+  mRestarted.onConnectionChecked(mNow + 100ms, true);
+  mRestarted.onConnectionChecked(mNow + 200ms, true);
+  BOOST_TEST(mRestarted.hasEnded(mNow + 200ms));
+}
+
+// Guards against the same if the refusal arrives after the configuration.
+BOOST_AUTO_TEST_CASE(a_refusal_before_the_configuration_is_confirmed_ends_the_listed_start)
+{
+  mRestarted.list(mNow, kStart);
+  BOOST_TEST(!mRestarted.hasEnded(mNow));
+  mRestarted.onRefusal();
+  BOOST_TEST(mRestarted.hasEnded(mNow));
+}
+
+// Guards against the loss of an upstream that starts after its agent.
+BOOST_AUTO_TEST_CASE(a_start_that_is_listed_after_the_configuration_was_confirmed_runs)
+{
+  mRestarted.onRefusal();
+  mRestarted.onConfirmed();
+  mRestarted.list(mNow, kStart);
+  BOOST_TEST(mRestarted.mayReceiveFlows(mNow));
+}
+
+// Guards against opening packets of an agent that was restarted while the VM of its upstream
+// answered nothing, so that no connection was refused.
+BOOST_AUTO_TEST_CASE(a_start_that_the_first_configuration_lists_must_accept_a_connection)
+{
+  mRestarted.list(mNow, kStart);
+  mRestarted.onConfirmed();
+  mRestarted.onPacket();
+  mRestarted.onConnectionChecked(mNow, false);
+  BOOST_TEST(!mRestarted.mayReceiveFlows(mNow));
+  mRestarted.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  BOOST_TEST(mRestarted.mayReceiveFlows(mNow));
+}
+
+// Guards against the loss of a living upstream whose endpoint refused a connection for a moment.
+BOOST_AUTO_TEST_CASE(a_start_whose_record_was_written_again_runs)
+{
+  mRestarted.onRefusal();
+  mRestarted.list(mNow, kStart);
+  read(mRestarted, { { 1000, 10, 12 }, { 1000, 11, 14 }, { 1000, 14, 16 } });
+  BOOST_TEST(mRestarted.hasEnded(mNow));
+  read(mRestarted, { { 1000, 17, 18 } });
+  BOOST_TEST(!mRestarted.hasEnded(mNow));
+}
+
+// Guards against opening packets for an upstream that has ended since the read that proves it.
+BOOST_AUTO_TEST_CASE(a_record_proves_that_its_start_ran_at_the_read_before)
+{
+  mRestarted.onRefusal();
+  mRestarted.list(mNow, kStart);
+  read(mRestarted, { { 1000, 10, 12 }, { 1000, 13, 14 } });
+  BOOST_TEST(!mRestarted.hasEnded(mNow + 999ms));
+  BOOST_TEST(mRestarted.hasEnded(mNow + 1s));
+}
+
+// Guards against the record of another start, of a restored store, and of a read long ago.
+BOOST_AUTO_TEST_CASE(a_record_that_cannot_be_compared_proves_nothing)
+{
+  constexpr std::uint64_t kEpoch = config::makeRevision(2, 0);
+  mRestarted.onRefusal();
+  mRestarted.list(mNow, kStart);
+  read(mRestarted, { { 1000, 10, 12 }, { 5000, 13, 14 }, { 1000, kEpoch + 9, kEpoch + 9 } });
+  BOOST_TEST(mRestarted.hasEnded(mNow));
+  mNow += 1500ms;
+  read(mRestarted, { { 1000, kEpoch + 10, kEpoch + 11 } });
+  BOOST_TEST(mRestarted.hasEnded(mNow));
+}
+
+// Guards against many reads for an upstream that has ended, at whose endpoint nobody answers.
+BOOST_AUTO_TEST_CASE(the_record_is_read_at_a_bounded_rate_while_a_process_answers)
+{
+  pass(3s, ConnectionOutcome::kRefused);
+  BOOST_TEST(!mWatch.startRecordRead(mNow));
+  mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  BOOST_TEST(mWatch.startRecordRead(mNow));
+  BOOST_TEST(!mWatch.startRecordRead(mNow + 5s));
+  mWatch.onRecord(mNow, std::nullopt);
+  BOOST_TEST(!mWatch.startRecordRead(mNow + 499ms));
+  BOOST_TEST(mWatch.startRecordRead(mNow + 500ms));
+}
+
+// Guards against a read for a start that is no longer listed.
+BOOST_AUTO_TEST_CASE(a_record_does_not_count_for_a_start_that_is_listed_later)
+{
+  mRestarted.onRefusal();
+  mRestarted.list(mNow, kStart);
+  read(mRestarted, { { 1000, 10, 12 } });
+  BOOST_REQUIRE(mRestarted.startRecordRead(mNow));
+  mRestarted.list(mNow, kNextStart);
+  mRestarted.onRecord(mNow, config::UpstreamRecord{ 5000, 13, 14 });
+  BOOST_TEST(mRestarted.hasEnded(mNow));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_watched_without_a_reuse_delay_or_a_listed_start)
 {
   agent::UpstreamWatch disabled({});
