--- a/src/agent/agent_metrics.cpp
+++ b/src/agent/agent_metrics.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+constexpr const char* kReadsName = "cornelcross_upstream_record_reads_total";
+constexpr const char* kReadsHelp =
+  "Reads of the record of an upstream that counts as ended, by result";
+
 using GaugeReader = double (*)(const FlowManager&);
 
 struct AgentGauge
@@ -114,6 +118,8 @@
                               "New flows refused with a reset; none of their requests ran"))
   , mAdopted(aMetrics.counter("cornelcross_flows_adopted_total",
                               "Flows whose record was made from what the upstream sent"))
+  , mAnsweredReads(aMetrics.counter(kReadsName, kReadsHelp, { { "result", "answered" } }))
+  , mFailedReads(aMetrics.counter(kReadsName, kReadsHelp, { { "result", "failed" } }))
 {
   registerHistograms(aMetrics, aFlowManager);
   for (const DropReason reason : kDropReasons) {
@@ -131,6 +137,11 @@
   }
 }
 
+void AgentMetrics::recordRecordRead(bool aIsAnswered)
+{
+  (aIsAnswered ? mAnsweredReads : mFailedReads).Increment();
+}
+
 void AgentMetrics::recordEvent(const telemetry::Event& aEvent)
 {
   switch (aEvent.mKind) {
--- a/src/agent/agent_metrics.hpp
+++ b/src/agent/agent_metrics.hpp
@@ -15,6 +15,9 @@
   /// @brief Counts an event in the counter of its kind.
   void recordEvent(const telemetry::Event& aEvent);
 
+  /// @brief Counts a read of the upstream's record.
+  void recordRecordRead(bool aIsAnswered);
+
   /// @brief Counts a dropped datagram.
   void recordDrop(std::string_view aReason) { mDrops.count(aReason); }
 
@@ -24,6 +27,8 @@
   prometheus::Counter& mClosed;
   prometheus::Counter& mRefused;
   prometheus::Counter& mAdopted;
+  prometheus::Counter& mAnsweredReads;
+  prometheus::Counter& mFailedReads;
 };
 
 } // namespace cornelcross::agent
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -12,6 +12,7 @@
 #include "agent/measurement_callbacks.hpp"
 #include "agent/ownership_evidence.hpp"
 #include "agent/returnable_packets.hpp"
+#include "agent/upstream_check.hpp"
 #include "agent/upstream_health.hpp"
 #include "agent/upstream_ownership_queries.hpp"
 #include "config/configuration.hpp"
@@ -24,17 +25,6 @@
 /// @brief The agent process, which owns the flows of the upstream that runs beside it.
 namespace cornelcross::agent {
 
-/// @brief What an agent process observes of its upstream.
-struct UpstreamCheck
-{
-  bool mIsConnected = false; ///< the connection to it is open
-  bool mIsConfirmed = false; ///< the active configuration is confirmed
-  std::optional<base::Time>
-    mServiceRespondedAt = {}; ///< last response of the configuration service
-
-  auto operator<=>(const UpstreamCheck&) const = default;
-};
-
 /// @brief Admits new flows to the upstream, delivers the packets of owned flows and forwards all
 /// other packets to the next candidate. Deterministic: has no clock, socket, thread or random
 /// source.
--- a/src/agent/runtime.cpp
+++ b/src/agent/runtime.cpp
@@ -380,6 +380,7 @@
 void Runtime::perform(const ReadUpstreamRecord& aAction)
 {
   const auto onRecord = [this](const std::optional<config::UpstreamRecord>& aRecord) {
+    mAgentMetrics.recordRecordRead(aRecord.has_value());
     perform(mFlowManager.onUpstreamRecord(net::MainLoop::now(), aRecord));
   };
   if (mHooks.mReadUpstreamRecord) {
--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -85,7 +85,8 @@
 void UpstreamWatch::onConnectionChecked(base::Time aNow, bool aIsOpen)
 {
   const bool hasPaused = aNow - mLastCheckAt >= kMinPause;
-  if (hasPaused && mIsOpen && aIsOpen && !mIsAttempting && !mHasEnded) {
+  const bool hasStayedOpen = mIsOpen && aIsOpen && !mIsAttempting;
+  if (hasPaused && hasStayedOpen && mHasRun && !mHasEnded) {
     confirmRunning(aNow);
   }
   mHasEnded = hasEnded(aNow);
@@ -167,7 +168,9 @@
 // after that.
 void UpstreamWatch::onRecord(base::Time aNow, const std::optional<config::UpstreamRecord>& aRecord)
 {
-  mIsReading = false;
+  if (!std::exchange(mIsReading, false)) {
+    return;
+  }
   mNextReadAt = aNow + acceptedInterval();
   if (std::exchange(mIsReadOutdated, false) || !aRecord) {
     return;
@@ -180,7 +183,6 @@
   mLastRead = RecordRead{ mReadStartedAt, aRecord->mServiceRevision };
 }
 
-/// Interval of the attempts while the endpoint accepts them.
 base::Duration UpstreamWatch::acceptedInterval() const
 {
   return mSettings.mReuseDelay / kAttemptsPerReuseDelay;
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -91,7 +91,8 @@
   /// @brief True if the listed start has ended and its endpoint may belong to another service.
   bool hasEnded(base::Time aNow) const;
 
-  /// @brief True if the process at the endpoint is the listed start. True if nothing is watched.
+  /// @brief True if new flows may be sent to the endpoint: the listed start has not ended, and was
+  /// seen running if it was listed before the configuration was confirmed.
   bool mayReceiveFlows(base::Time aNow) const;
 
 private:
@@ -106,6 +107,7 @@
   void revive(base::Time aRunningAt);
   bool isRenewed(const config::UpstreamRecord& aRecord) const;
   void confirmRunning(base::Time aAt);
+  /// Interval of the attempts while the endpoint accepts them, and of the reads of the record.
   base::Duration acceptedInterval() const;
   bool isEnabled() const { return mSettings.mReuseDelay > base::Duration::zero(); }
 
@@ -124,7 +126,7 @@
   bool mIsRefused = false; ///< an attempt was refused since the listed start was last known to run
   bool mHasSeenRefusal = false; ///< an attempt was refused since this object exists
   bool mIsConfirmed = false;    ///< the configuration was confirmed since this object exists
-  bool mIsUnproven = false;     ///< the listed start was listed before that
+  bool mIsUnproven = false;     ///< the listed start was listed before that confirmation
   base::Time mLastRunningAt;    ///< the listed start ran at this time or later
   base::Time mNextAttemptAt;
   bool mHasEnded = false;
--- a/src/net/deployment_hooks.hpp
+++ b/src/net/deployment_hooks.hpp
@@ -20,6 +20,12 @@
   auto operator<=>(const HealthPage&) const = default;
 };
 
+/// @brief Called with what the configuration service states of a record; empty without a response.
+using UpstreamRecordListener = std::function<void(const std::optional<config::UpstreamRecord>&)>;
+
+/// @brief Reads the record of the upstream with a name. Cancels a read in progress.
+using UpstreamRecordReader = std::function<void(const std::string&, UpstreamRecordListener)>;
+
 /// @brief Packet format and callbacks that adapt a process to its deployment.
 struct DeploymentHooks
 {
@@ -40,11 +46,8 @@
   /// settings name.
   DocumentSourceFactory mDocumentSource;
 
-  /// Reads the record of the upstream with a name, one read at a time, and passes what the
-  /// configuration service states of it; empty without a response. Empty if it cannot be read.
-  std::function<void(const std::string&,
-                     std::function<void(const std::optional<config::UpstreamRecord>&)>)>
-    mReadUpstreamRecord;
+  /// Reads records from the configuration service. Empty if they cannot be read.
+  UpstreamRecordReader mReadUpstreamRecord;
 
   /// Reloads the settings; called on SIGHUP and every few seconds. Empty if they cannot change.
   std::function<SettingsReloadResult()> mReloadSettings;
