Agent: each listed start must accept a connection before it gets a flow

A start that a configuration listed after it had been confirmed counted as running. Trace: the store was down, and the record of the second upstream was held back until that of the first one at its address expired, so the configuration listed it 3.8 s after its start, when it had ended and the third one, of another service, ran. The agent admitted flows for 100 ms, until the next connection made it read the settings.

Fix: a start gets no flow before it accepts a connection of the agent, after which the settings are read. The agent connects as soon as the start is listed, whatever the former attempts were.

Two cases expected flows without a connection; they now expect none before it and flows after it.

--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -101,6 +101,7 @@
     isListed ? std::optional(ListedStart{ mUpstream->mIdentity, mUpstream->mStartedAtMs })
              : std::nullopt);
   append(actions, presenceEvents(aNow));
+  append(actions, watchUpstream(aNow));
   return actions;
 }
 
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -172,6 +172,7 @@
                         const FlowRecord& aRecord);
   bool mayReceiveSyn(base::Time aNow) const;
   Actions presenceEvents(base::Time aNow);
+  Actions watchUpstream(base::Time aNow);
   Actions onSegment(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onUnrecordedSegment(base::Time aNow,
                               const flow::TcpPacket& aPacket,
--- a/src/agent/upstream_presence.cpp
+++ b/src/agent/upstream_presence.cpp
@@ -30,15 +30,21 @@
     mUpstreamWatch.onServiceResponse(aNow, *aCheck.mServiceRespondedAt);
   }
   Actions actions = presenceEvents(aNow);
-  if (mSettings.mUpstreamAddress && mUpstreamWatch.startAttempt(aNow)) {
-    actions.emplace_back(WatchUpstream{ *mSettings.mUpstreamAddress });
-  }
+  append(actions, watchUpstream(aNow));
   if (mUpstream && mUpstreamWatch.startRecordRead(aNow)) {
     actions.emplace_back(ReadUpstreamRecord{ mUpstream->mName });
   }
   return actions;
 }
 
+Actions FlowManager::watchUpstream(base::Time aNow)
+{
+  if (!mSettings.mUpstreamAddress || !mUpstreamWatch.startAttempt(aNow)) {
+    return {};
+  }
+  return { WatchUpstream{ *mSettings.mUpstreamAddress } };
+}
+
 Actions FlowManager::onUpstreamRecord(base::Time aNow,
                                       const std::optional<config::UpstreamRecord>& aRecord)
 {
--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-// A record is written by a running upstream, so a start that is listed for the first time counts as
-// running, unless it may have been listed for long. A start that has ended may be listed again by a
+// A record is written by a running upstream, so a start that is listed for the first time has not
+// ended, unless it may have been listed for long. A start that has ended may be listed again by a
 // configuration that is older.
 void UpstreamWatch::list(base::Time aNow, std::optional<ListedStart> aStart)
 {
@@ -37,15 +37,16 @@
   mIsReadOutdated = mIsReading;
   mLastRead.reset();
   reset(aNow);
-  mIsUnproven = !mIsConfirmed;
-  mIsRefused = mIsUnproven && mHasSeenRefusal;
+  mIsInitial = !mIsConfirmed;
+  mIsRefused = mIsInitial && mHasSeenRefusal;
+  mNextAttemptAt = aNow;
   mHasEnded = aStart && aStart == mFormerEndedStart;
 }
 
 void UpstreamWatch::onRefusal()
 {
   mHasSeenRefusal = true;
-  mIsRefused = mIsRefused || mIsUnproven;
+  mIsRefused = mIsRefused || mIsInitial;
 }
 
 void UpstreamWatch::reset(base::Time aNow)
@@ -68,7 +69,7 @@
 
 bool UpstreamWatch::mayReceiveFlows(base::Time aNow) const
 {
-  const bool isUnproven = isEnabled() && mStart && mIsUnproven && !mHasRun;
+  const bool isUnproven = isEnabled() && mStart && !mHasRun;
   return !isUnproven && !hasEnded(aNow);
 }
 
@@ -111,6 +112,7 @@
   mHasSeenRefusal = mHasSeenRefusal || isRefused;
   mNextAttemptAt = aNow + (isAccepted ? acceptedInterval() : base::Duration(kRetryInterval));
   if (std::exchange(mIsAttemptOutdated, false)) {
+    mNextAttemptAt = aNow;
     return;
   }
   mIsRefused = mIsRefused || isRefused;
@@ -190,7 +192,8 @@
 
 bool UpstreamWatch::startAttempt(base::Time aNow)
 {
-  const bool isCurrent = mIsOpen && !mHasEnded && aNow - mLastRunningAt < acceptedInterval();
+  const bool isKnownToRun = mHasRun && !mHasEnded;
+  const bool isCurrent = mIsOpen && isKnownToRun && aNow - mLastRunningAt < acceptedInterval();
   if (!isEnabled() || !mStart || isCurrent || mIsAttempting || aNow < mNextAttemptAt) {
     return false;
   }
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -45,10 +45,11 @@
 /// An open connection alone proves nothing: it may stay open when its peer has ended without
 /// closing it. The upstream must send a packet or accept another connection within the reuse delay.
 ///
-/// Nor does a listing prove that its start runs while the configuration is not confirmed: the start
-/// may have ended before this process started. It must accept a connection, and its endpoint must
-/// not have refused one before. That an ended start runs after all is proved by its record, if the
-/// record was written again since an earlier read.
+/// Nor does a listing prove that its start runs: the start may have ended before this process
+/// received the configuration. It must accept a connection. If it was listed before the
+/// configuration was confirmed for the first time, its endpoint must not have refused one before.
+/// That an ended start runs after all is proved by its record, if the record was written again
+/// since an earlier read.
 ///
 /// Deterministic: the caller passes the current time to each call.
 class UpstreamWatch
@@ -91,8 +92,8 @@
   /// @brief True if the listed start has ended and its endpoint may belong to another service.
   bool hasEnded(base::Time aNow) const;
 
-  /// @brief True if new flows may be sent to the endpoint: the listed start has not ended, and was
-  /// seen running if it was listed before the configuration was confirmed.
+  /// @brief True if new flows may be sent to the endpoint: the listed start was seen running and
+  /// has not ended.
   bool mayReceiveFlows(base::Time aNow) const;
 
 private:
@@ -126,7 +127,7 @@
   bool mIsRefused = false; ///< an attempt was refused since the listed start was last known to run
   bool mHasSeenRefusal = false; ///< an attempt was refused since this object exists
   bool mIsConfirmed = false;    ///< the configuration was confirmed since this object exists
-  bool mIsUnproven = false;     ///< the listed start was listed before that confirmation
+  bool mIsInitial = false;      ///< the listed start was listed before that confirmation
   base::Time mLastRunningAt;    ///< the listed start ran at this time or later
   base::Time mNextAttemptAt;
   bool mHasEnded = false;
--- a/tests/unit/test_upstream_presence.cpp
+++ b/tests/unit/test_upstream_presence.cpp
@@ -141,7 +141,8 @@
   BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) != nullptr);
 }
 
-BOOST_AUTO_TEST_CASE(another_start_in_the_configuration_is_served)
+// Guards against opening packets for a start that the configuration lists only after its end.
+BOOST_AUTO_TEST_CASE(another_start_in_the_configuration_is_served_once_it_accepts_a_connection)
 {
   end();
   config::Configuration configuration = makeConfiguration(3, 2);
@@ -152,8 +153,11 @@
     upstreams.push_back(upstream);
   }
   service.mUpstreams = upstreams;
-  mAgent.apply(mNow, share(configuration));
-  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) != nullptr);
+  const auto actions = mAgent.apply(mNow, share(configuration));
+  BOOST_TEST(findAction<agent::WatchUpstream>(actions) != nullptr);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) == nullptr);
+  mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kAccepted);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40002)) != nullptr);
 }
 
 // Guards against the loss of a living upstream that cannot be watched.
--- a/tests/unit/test_upstream_watch.cpp
+++ b/tests/unit/test_upstream_watch.cpp
@@ -300,17 +300,31 @@
 }
 
 // Guards against the loss of an upstream that starts after its agent.
-BOOST_AUTO_TEST_CASE(a_start_that_is_listed_after_the_configuration_was_confirmed_runs)
+BOOST_AUTO_TEST_CASE(a_start_that_is_listed_after_the_configuration_was_confirmed_has_not_ended)
 {
   mRestarted.onRefusal();
   mRestarted.onConfirmed();
   mRestarted.list(mNow, kStart);
+  mRestarted.onAttempt(mNow, ConnectionOutcome::kAccepted);
   BOOST_TEST(mRestarted.mayReceiveFlows(mNow));
 }
 
+// Guards against a start that waits for the next attempt that is due for the former one.
+BOOST_AUTO_TEST_CASE(a_start_is_connected_to_as_soon_as_it_is_listed)
+{
+  BOOST_REQUIRE(!mWatch.startAttempt(mNow));
+  mWatch.list(mNow, kNextStart);
+  BOOST_TEST(!mWatch.mayReceiveFlows(mNow));
+  BOOST_TEST(mWatch.startAttempt(mNow));
+  mWatch.list(mNow, kStart);
+  mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
+  BOOST_TEST(!mWatch.mayReceiveFlows(mNow));
+  BOOST_TEST(mWatch.startAttempt(mNow));
+}
+
 // Guards against opening packets of an agent that was restarted while the VM of its upstream
 // answered nothing, so that no connection was refused.
-BOOST_AUTO_TEST_CASE(a_start_that_the_first_configuration_lists_must_accept_a_connection)
+BOOST_AUTO_TEST_CASE(a_listed_start_must_accept_a_connection)
 {
   mRestarted.list(mNow, kStart);
   mRestarted.onConfirmed();
--- a/tests/unit/test_upstream_watch_model.cpp
+++ b/tests/unit/test_upstream_watch_model.cpp
@@ -19,8 +19,8 @@
 constexpr base::Duration kRecordLifetime = 3 * kHeartbeat;
 constexpr base::Duration kSettingsInterval = 2s;
 constexpr base::Duration kAttemptTimeout = 400ms;
-constexpr base::Duration kMaxListingAge = 1500ms; // of the configuration of the agent
-constexpr base::Duration kMaxStall = 900ms;       // of the agent; a longer one counts as a pause
+constexpr base::Duration kMaxListingAge = 6s; // of the configuration of the agent
+constexpr base::Duration kMaxStall = 900ms;   // of the agent; a longer one counts as a pause
 
 /// One start of an upstream at the endpoint.
 struct Start
@@ -92,7 +92,7 @@
     start.mIsBusy = below(2) == 0;
     mRunning = start;
     mSettingsNameService = aIsOfService;
-    mChangesAt = mNow + 3s + upTo(12s);
+    mChangesAt = mNow + upTo(12s);
     mNextWriteAt = mNow + upTo(500ms);
   }
 
