Agent: the reads of a record are a part of their own

RecordRenewal decides from reads of a record whether a start runs, and UpstreamWatch when that matters.

--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -1,7 +1,5 @@
 #include "agent/upstream_watch.hpp"
 
-#include "config/revision.hpp"
-
 #include <algorithm>
 #include <utility>
 
@@ -23,6 +21,13 @@
 
 } // namespace
 
+UpstreamWatch::UpstreamWatch(UpstreamWatchSettings aSettings)
+  : mSettings(aSettings)
+  , mAcceptedInterval(aSettings.mReuseDelay / kAttemptsPerReuseDelay)
+  , mRenewal(mAcceptedInterval)
+{
+}
+
 // A record is written by a running upstream, so a start that is listed for the first time has not
 // ended, unless it may have been listed for long. A start that has ended may be listed again by a
 // configuration that is older.
@@ -34,8 +39,7 @@
   mFormerEndedStart = hasEnded(aNow) ? mStart : mFormerEndedStart;
   mStart = aStart;
   mIsAttemptOutdated = mIsAttempting;
-  mIsReadOutdated = mIsReading;
-  mLastRead.reset();
+  mRenewal.observe(mStart ? mStart->mStartedAtMs : 0);
   reset(aNow);
   mIsInitial = !mIsConfirmed;
   mIsRefused = mIsInitial && mHasSeenRefusal;
@@ -110,7 +114,7 @@
   const bool isRefused = aOutcome == flow::ConnectionOutcome::kRefused;
   mIsAnswered = isAccepted;
   mHasSeenRefusal = mHasSeenRefusal || isRefused;
-  mNextAttemptAt = aNow + (isAccepted ? acceptedInterval() : base::Duration(kRetryInterval));
+  mNextAttemptAt = aNow + (isAccepted ? mAcceptedInterval : base::Duration(kRetryInterval));
   if (std::exchange(mIsAttemptOutdated, false)) {
     mNextAttemptAt = aNow;
     return;
@@ -149,51 +153,25 @@
 // While no process answers at the endpoint, the listed start cannot serve.
 bool UpstreamWatch::startRecordRead(base::Time aNow)
 {
-  if (!mStart || !hasEnded(aNow) || !mIsAnswered || mIsReading || aNow < mNextReadAt) {
-    return false;
-  }
-  mIsReading = true;
-  mReadStartedAt = aNow;
-  return true;
+  const bool isUseful = mStart && hasEnded(aNow) && mIsAnswered;
+  return isUseful && mRenewal.startRead(aNow);
 }
 
-// What the service wrote after its response to a read, it wrote after the read started.
-bool UpstreamWatch::isRenewed(const config::UpstreamRecord& aRecord) const
-{
-  const bool isSameStart = aRecord.mStartedAtMs == mStart->mStartedAtMs;
-  const bool isSameEpoch =
-    mLastRead && config::epochOf(mLastRead->mServiceRevision) == config::epochOf(aRecord.mRevision);
-  return isSameStart && isSameEpoch && aRecord.mRevision > mLastRead->mServiceRevision;
-}
-
-// Only the start itself renews its record, and nobody else has its endpoint for the reuse delay
-// after that.
+// Nobody else has the endpoint of a start for the reuse delay after it ran.
 void UpstreamWatch::onRecord(base::Time aNow, const std::optional<config::UpstreamRecord>& aRecord)
 {
-  if (!std::exchange(mIsReading, false)) {
-    return;
-  }
-  mNextReadAt = aNow + acceptedInterval();
-  if (std::exchange(mIsReadOutdated, false) || !aRecord) {
-    return;
-  }
+  const std::optional<base::Time> ranAt = mRenewal.onRead(aNow, aRecord);
   mHasEnded = hasEnded(aNow);
-  if (mHasEnded && isRenewed(*aRecord) && aNow - mLastRead->mStartedAt < mSettings.mReuseDelay) {
-    revive(mLastRead->mStartedAt);
+  if (mHasEnded && ranAt && aNow - *ranAt < mSettings.mReuseDelay) {
+    revive(*ranAt);
     mHasRun = true;
   }
-  mLastRead = RecordRead{ mReadStartedAt, aRecord->mServiceRevision };
-}
-
-base::Duration UpstreamWatch::acceptedInterval() const
-{
-  return mSettings.mReuseDelay / kAttemptsPerReuseDelay;
 }
 
 bool UpstreamWatch::startAttempt(base::Time aNow)
 {
   const bool isKnownToRun = mHasRun && !mHasEnded;
-  const bool isCurrent = mIsOpen && isKnownToRun && aNow - mLastRunningAt < acceptedInterval();
+  const bool isCurrent = mIsOpen && isKnownToRun && aNow - mLastRunningAt < mAcceptedInterval;
   if (!isEnabled() || !mStart || isCurrent || mIsAttempting || aNow < mNextAttemptAt) {
     return false;
   }
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/record_renewal.hpp"
 #include "base/time.hpp"
 #include "config/upstream_record.hpp"
 #include "flow/connection_outcome.hpp"
@@ -55,7 +56,7 @@
 class UpstreamWatch
 {
 public:
-  explicit UpstreamWatch(UpstreamWatchSettings aSettings) : mSettings(aSettings) {}
+  explicit UpstreamWatch(UpstreamWatchSettings aSettings);
 
   /// @brief Applies the start that the configuration lists at the endpoint; empty if none.
   void list(base::Time aNow, std::optional<ListedStart> aStart);
@@ -97,22 +98,14 @@
   bool mayReceiveFlows(base::Time aNow) const;
 
 private:
-  /// Earlier read of the record.
-  struct RecordRead
-  {
-    base::Time mStartedAt;
-    std::uint64_t mServiceRevision = 0;
-  };
-
   void reset(base::Time aNow);
   void revive(base::Time aRunningAt);
-  bool isRenewed(const config::UpstreamRecord& aRecord) const;
   void confirmRunning(base::Time aAt);
-  /// Interval of the attempts while the endpoint accepts them, and of the reads of the record.
-  base::Duration acceptedInterval() const;
   bool isEnabled() const { return mSettings.mReuseDelay > base::Duration::zero(); }
 
   UpstreamWatchSettings mSettings;
+  base::Duration mAcceptedInterval; ///< time between attempts while the endpoint accepts them
+  RecordRenewal mRenewal;
   std::optional<ListedStart> mStart;
   std::optional<ListedStart> mFormerEndedStart; ///< last start that ended and is no longer listed
   bool mIsOpen = false;
@@ -132,12 +125,6 @@
   base::Time mNextAttemptAt;
   bool mHasEnded = false;
 
-  bool mIsReading = false;
-  bool mIsReadOutdated = false; ///< the read in progress is for a start listed before
-  base::Time mReadStartedAt;
-  base::Time mNextReadAt;
-  std::optional<RecordRead> mLastRead; ///< of the record of the listed start
-
   /// Since then the record of the ended start would have expired and the configuration service has
   /// responded without interruption.
   std::optional<base::Time> mExpiredSince;
