--- a/tests/process/support/child.cpp
+++ b/tests/process/support/child.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <gio/gunixinputstream.h>
 #include <libsoup/soup.h>
 #include <thread>
 
@@ -78,6 +79,17 @@
   return output;
 }
 
+int Child::outputDescriptor() const
+{
+  return g_unix_input_stream_get_fd(G_UNIX_INPUT_STREAM(g_subprocess_get_stdout_pipe(mProcess)));
+}
+
+std::string Child::pid() const
+{
+  const char* identifier = g_subprocess_get_identifier(mProcess);
+  return identifier == nullptr ? "" : identifier;
+}
+
 std::string httpGet(const std::string& aEndpoint, const std::string& aPath)
 {
   SoupSession* session = soup_session_new_with_options("timeout", 2, nullptr);
--- a/tests/process/support/child.hpp
+++ b/tests/process/support/child.hpp
@@ -35,6 +35,12 @@
   /// @brief Waits for the process to end. Returns its standard output and standard error, merged.
   std::string output();
 
+  /// @brief Descriptor of the pipe that output() reads.
+  int outputDescriptor() const;
+
+  /// @brief Id of the process; empty once it has ended.
+  std::string pid() const;
+
 private:
   GSubprocess* mProcess;
 };
--- a/tests/process/support/deployment.hpp
+++ b/tests/process/support/deployment.hpp
@@ -23,6 +23,7 @@
 
   Child& balancer() { return *mBalancer; }
   Child& agent() { return *mAgent; }
+  Child& configService() { return *mConfigService; }
 
   /// @brief Endpoint of a host as "127.31.NETWORK_OCTET.aHost:aPort".
   std::string endpoint(int aHost, int aPort) const;
