Store: a record that is not whole names no backend, and a later one must be a later start

Cause: a record without version, sequence and warmupLeftMs counted as a backend, and among records of one service and address the last to be created as a later start of the backend.

Change: a record must have all that every backend writes, each of its type and range, and name a zone of the deployment and a configured service; what is not used is reported once. A later record of the same backend is a later start only if the earlier one has not been written since: a backend that started again no longer writes its former record. Revisions of the store decide, not clocks. A renewal is compared only for VMs with several records.

The fixtures write whole records now. Two expectations changed with their reason: a record of an unknown service is reported as well (5 reports in place of 4), and a configuration of a test lists both services that its backends name.

--- a/tests/platform/store/items.hpp
+++ b/tests/platform/store/items.hpp
@@ -20,11 +20,13 @@
 inline std::string makeBackend(const std::string& aService,
                                const std::string& aAddress,
                                const std::string& aState = "ready",
-                               std::uint64_t aStartedAtMs = 1000)
+                               std::uint64_t aStartedAtMs = 1000,
+                               std::uint64_t aSequence = 1)
 {
   return nlohmann::json{
-    { "service", aService }, { "address", aAddress }, { "zone", "a" },         { "capacity", 7 },
-    { "state", aState },     { "sequence", 1 },       { "born", aStartedAtMs }
+    { "service", aService }, { "address", aAddress },   { "zone", "a" },
+    { "version", "v1" },     { "capacity", 7 },         { "state", aState },
+    { "warmupLeftMs", 0 },   { "sequence", aSequence }, { "born", aStartedAtMs }
   }.dump();
 }
 
--- a/tests/platform/test_foreign_records.cpp
+++ b/tests/platform/test_foreign_records.cpp
@@ -1,5 +1,4 @@
-#include "platform/store/items.hpp"
-#include "platform/store/store_process.hpp"
+#include "platform/store/foreign_records.hpp"
 #include "telemetry/event_log.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -10,68 +9,10 @@
 using namespace cornelcross;
 using namespace std::chrono_literals;
 
-using Names = std::set<std::string>;
+using test::ForeignRecords;
 
 namespace {
 
-/// A store with three backends of two services, and two processes that read it from its bytes to
-/// the accepted documents: one lists it with each read, the other one watches it.
-struct ForeignRecords
-{
-  ForeignRecords()
-  {
-    mStore.put("op/config", test::makeConfig(5, "log"));
-    mStore.put("servers/x", test::makeBackend("log", "10.0.0.1:80"));
-    mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
-    mStore.put("servers/z", test::makeBackend("cert", "10.0.0.3:80"));
-    pass(4s);
-  }
-
-  void read()
-  {
-    BOOST_TEST(mLister.read(mStore), mLister.mFailure);
-    BOOST_TEST(mWatcher.read(mStore, 3), mWatcher.mFailure);
-  }
-
-  void pass(base::Duration aTime)
-  {
-    for (base::Duration passed{ 0 }; passed < aTime; passed += 500ms) {
-      mNow += 500ms;
-      read();
-    }
-  }
-
-  bool hasUpstreams(const Names& aLog, const Names& aCert) const
-  {
-    return mLister.upstreams("log") == aLog && mWatcher.upstreams("log") == aLog &&
-           mLister.upstreams("cert") == aCert && mWatcher.upstreams("cert") == aCert;
-  }
-
-  /// True if every backend is listed and a backend that drains is followed.
-  bool areBackendsFollowed()
-  {
-    read();
-    const bool areListed = hasUpstreams({ "x serving", "y serving" }, { "z serving" });
-    mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80", "draining"));
-    mStore.put("servers/w", test::makeBackend("cert", "10.0.0.4:80"));
-    read();
-    return areListed && hasUpstreams({ "x serving", "y leaving" }, { "z serving", "w serving" });
-  }
-
-  std::size_t rejections() const
-  {
-    return static_cast<std::size_t>(
-      std::count_if(mWatcher.mEvents.begin(), mWatcher.mEvents.end(), [](const auto& aEvent) {
-        return aEvent.mKind == telemetry::EventKind::kConfigRejected;
-      }));
-  }
-
-  base::Time mNow{ 100s };
-  test::StoreContent mStore;
-  test::StoreProcess mLister{ mNow };
-  test::StoreProcess mWatcher{ mNow };
-};
-
 std::string withMember(const std::string& aName, const std::string& aJson)
 {
   auto record = nlohmann::json::parse(test::makeBackend("log", "10.0.0.9:80"));
@@ -302,7 +243,10 @@
       text += ",\"address\":" +
               valid("\"" + address + "\"", member("\"10.0.0.1:99999\"", "\"0.0.0.0:1\""));
       text += ",\"zone\":" + valid("\"a\"", member("\"\"", "\"elsewhere\""));
+      text += ",\"version\":" + valid("\"v1\"", member("\"\"", "7"));
       text += ",\"capacity\":" + valid("7", member("0", "1e400"));
+      text += ",\"warmupLeftMs\":" + valid("0", member("\"0\"", "1e400"));
+      text += ",\"sequence\":" + valid("1", member("0.5", "\"1\""));
       text += ",\"state\":" + valid("\"ready\"", member("\"asleep\"", "\"draining\""));
       text += ",\"born\":" + valid("9000", member("0", "18446744073709551615")) + "}";
       const std::string id = *rc::gen::element<std::string>("", "odd", "a/b", "\"", "10.0.0.1");
--- a/tests/platform/test_store_translator.cpp
+++ b/tests/platform/test_store_translator.cpp
@@ -239,7 +239,7 @@
   update("servers/j5", makeEntry("unknown", "10.0.0.10:80"));
   update("elsewhere/x", "{}");
   BOOST_TEST(upstreams("log") == 2U);
-  BOOST_TEST(mFaultyKeys.size() == 4U);
+  BOOST_TEST(mFaultyKeys.size() == 5U);
 }
 
 // Guards against a backend that is no longer listed because another writer claims its address.
@@ -350,8 +350,15 @@
     platform::decodeBackendRecord(text);
     platform::decodeOperatorConfig(text);
     auto json = nlohmann::json::parse(makeEntry("log", "10.0.0.1:80"));
-    const auto field = *rc::gen::element<std::string>(
-      "service", "address", "zone", "capacity", "state", "born", "warmupLeftMs");
+    const auto field = *rc::gen::element<std::string>("service",
+                                                      "address",
+                                                      "zone",
+                                                      "version",
+                                                      "capacity",
+                                                      "state",
+                                                      "sequence",
+                                                      "born",
+                                                      "warmupLeftMs");
     const auto value =
       *rc::gen::element<std::string>("null", "-1", "1e300", "\"\"", "true", "[1]", "{}");
     json[field] = nlohmann::json::parse(value);
@@ -365,7 +372,7 @@
 {
   return R"({"version": )" + std::to_string(aVersion) +
          R"(, "routes": [{"hostname": "198.18.0.1", "prefix": "/443/", "service": "log")" +
-         aMembers + R"(}], "services": [{"name": "log"}]})";
+         aMembers + R"(}], "services": [{"name": "log"}, {"name": "cert"}]})";
 }
 
 BOOST_AUTO_TEST_CASE(a_route_that_describes_its_requests_gives_them_a_class)
--- a/tests/platform/test_upstream_record_reader.cpp
+++ b/tests/platform/test_upstream_record_reader.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr const char* kRecord =
-  R"({"service":"live","address":"10.0.0.1:8165","zone":"a","capacity":4,"state":"ready","born":7})";
+  R"({"service":"live","address":"10.0.0.1:8165","zone":"a","version":"v1","capacity":4,"state":"ready","warmupLeftMs":0,"sequence":2,"born":7})";
 
 struct Fixture
 {
