--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -3,6 +3,8 @@
 #include "config/duplicate_members.hpp"
 #include "config/nesting.hpp"
 
+#include <sstream>
+
 namespace cornelcross::config {
 
 void JsonReader::addError(const std::string& aPath, const std::string& aExpected)
@@ -97,6 +99,25 @@
   return aMin;
 }
 
+double JsonReader::readNumber(const nlohmann::json& aObject,
+                              const std::string& aPath,
+                              const std::string& aName,
+                              double aMin,
+                              double aMax)
+{
+  const auto found = aObject.find(aName);
+  if (found != aObject.end() && found->is_number()) {
+    const auto value = found->get<double>();
+    if (value >= aMin && value <= aMax) {
+      return value;
+    }
+  }
+  std::ostringstream expected;
+  expected << "a number from " << aMin << " to " << aMax;
+  addError(aPath + "." + aName, expected.str());
+  return aMin;
+}
+
 std::uint64_t JsonReader::readUint64(const nlohmann::json& aObject,
                                      const std::string& aPath,
                                      const std::string& aName)
--- a/src/config/json_reader.hpp
+++ b/src/config/json_reader.hpp
@@ -47,6 +47,14 @@
                             std::uint32_t aMax,
                             std::optional<std::uint32_t> aDefault);
 
+  /// @brief Reads a number between aMin and aMax, which may be a fraction. Returns aMin on an
+  /// error.
+  double readNumber(const nlohmann::json& aObject,
+                    const std::string& aPath,
+                    const std::string& aName,
+                    double aMin,
+                    double aMax);
+
   /// @brief Reads an unsigned integer of 64 bits. Returns 0 if the member is absent and on an
   /// error.
   std::uint64_t readUint64(const nlohmann::json& aObject,
