Agent: the search for an owner leaves living flows with their upstreams

Cause: agents without evidence along the chain, and those that a balancer without an entry assumes to be the owner, each deliver a packet to find out; and the agent that looks the owner up copies the packet to all that cannot tell by its own view of the zones, while the owner's agent still has the zone out and drops its copy. Besides, a late copy of a SYN at a restarted agent made a record that stood in for a denial, or replaced an adopted one.

Ruled out: the likely owner of a cached entry; the detector of failures.

Copies go to all only when each undecided agent would, or when there are two at most. Else one packet is tried, at the agent that a balancer assumes. Nobody delivers along the chain without a record or a cached entry. The agents that look up are ranked whatever the state of zones. A record that a packet does not fit denies nothing. A repeated SYN-ACK leaves an adopted flow open.

Agents of a zone that drains got copies first; they get none.

--- a/src/agent/candidate_forwarder.cpp
+++ b/src/agent/candidate_forwarder.cpp
@@ -74,8 +74,8 @@
 }
 
 // Few agents look up the flows of a service, so that one message asks about many flows after a
-// failure. Agents with different configurations may select different agents; the selected one
-// always does the lookup.
+// failure. The selection does not depend on states and zones: two agents that look up one flow at a
+// time would each try other upstreams. The selected one always does the lookup.
 Actions CandidateForwarder::lookUpOwner(base::Time aNow,
                                         const flow::TcpPacket& aPacket,
                                         wire::Forward aForward)
@@ -99,7 +99,7 @@
     return mSelf;
   }
   const std::uint64_t group = aPacket.keyFromCaller().hash() % kLookupGroups;
-  for (const flow::Endpoint agent : services.front()->candidates(group, true, kLookupGroups)) {
+  for (const flow::Endpoint agent : services.front()->listedAgents(group, kLookupGroups)) {
     if (!mFailureDetector.isSuspected(agent)) {
       return agent;
     }
@@ -107,16 +107,6 @@
   return mSelf;
 }
 
-// Agents end the draining of a zone at different times. The agent of the owner may drop a packet
-// while this one still drains the zone.
-bool CandidateForwarder::mayBeOwnedInZoneTakenOut(const flow::TcpPacket& aPacket) const
-{
-  const routing::CandidateServices services = candidateServices(aPacket);
-  return std::any_of(services.begin(), services.end(), [](const auto* aRoutes) {
-    return !aRoutes->agentsOutOfService().empty() || !aRoutes->drainingAgents().empty();
-  });
-}
-
 bool CandidateForwarder::hasNextCandidate(const wire::Forward& aForward) const
 {
   const auto next = aForward.mCandidates.begin() + aForward.mCandidateIndex + 1;
@@ -141,7 +131,7 @@
       continue;
     }
     aForward.mIsDeniedByAll = false;
-    if (mPacketFormat.returnsPackets() && mayBeOwnedInZoneTakenOut(aPacket)) {
+    if (mPacketFormat.returnsPackets()) {
       continue; // the lookup asks the suspect
     }
     wire::Forward copy = aForward;
--- a/src/agent/candidate_forwarder.hpp
+++ b/src/agent/candidate_forwarder.hpp
@@ -56,10 +56,6 @@
   /// @brief Lookups of the owners of flows.
   const OwnerLookups& ownerLookups() const { return mOwnerLookups; }
 
-  /// @brief True if an upstream in an availability zone that was taken out of service may own the
-  /// packet's flow. The zone may still drain.
-  bool mayBeOwnedInZoneTakenOut(const flow::TcpPacket& aPacket) const;
-
   /// @brief True if an unsuspected candidate follows on the packet's page of the candidate list.
   bool hasNextCandidate(const wire::Forward& aForward) const;
 
--- a/src/agent/flow_manager.cpp
+++ b/src/agent/flow_manager.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-/// Distance by which an acknowledgement may be behind the upstream's next sequence number: the
-/// largest window with scaling in common use. A stale or foreign acknowledgement fits with a
-/// probability of 1 in 1024.
-constexpr std::uint32_t kAckWindowBytes = 4 * 1024 * 1024;
-
 /// Delivered packets whose Forward header is stored, in case the upstream returns them. The
 /// upstream returns a packet within a millisecond, in which far fewer packets arrive.
 constexpr std::size_t kMaxReturnablePackets = 1024;
@@ -302,17 +297,18 @@
     if (!isOwned && !isReset && !isSameAttempt(*record, aPacket)) {
       // The segment is left over from an earlier connection of this port and proves nothing about
       // the current connection.
-      return mCandidateForwarder.forward(aNow, aPacket, std::move(aForward));
+      return forwardUnowned(aNow, aPacket, std::move(aForward));
     }
     if (!isOwned && !isReset) {
-      // The caller acknowledged the SYN of another upstream, which owns the flow.
+      // The caller acknowledged the SYN of another upstream, which owns the flow, or the record was
+      // made for a late copy of the SYN of an open flow.
       Actions actions = abortHalfOpen(aNow, key, *record);
-      append(actions, mCandidateForwarder.forward(aNow, aPacket, std::move(aForward)));
+      append(actions, onUnrecordedSegment(aNow, aPacket, std::move(aForward)));
       return actions;
     }
     record->mState = isReset ? record->mState : FlowState::kEstablished;
   } else if (!fits) {
-    return mCandidateForwarder.forward(aNow, aPacket, std::move(aForward));
+    return forwardUnowned(aNow, aPacket, std::move(aForward));
   }
   if (mustQueueRequest(*record, aPacket)) {
     return queueRequest(aNow, *record, aPacket, std::move(aForward));
@@ -320,6 +316,15 @@
   return deliver(aNow, *record, aPacket, aForward);
 }
 
+// A record that the segment does not fit denies the flow as little as no record does.
+Actions FlowManager::forwardUnowned(base::Time aNow,
+                                    const flow::TcpPacket& aPacket,
+                                    wire::Forward aForward)
+{
+  aForward.mIsDeniedByAll = aForward.mIsDeniedByAll && mayDeny(aNow, aPacket.keyFromCaller());
+  return mCandidateForwarder.forward(aNow, aPacket, std::move(aForward));
+}
+
 Actions FlowManager::onUnrecordedSegment(base::Time aNow,
                                          const flow::TcpPacket& aPacket,
                                          wire::Forward aForward)
--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -177,6 +177,7 @@
   Actions onUnrecordedSegment(base::Time aNow,
                               const flow::TcpPacket& aPacket,
                               wire::Forward aForward);
+  Actions forwardUnowned(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions forwardUnserved(base::Time aNow,
                           const flow::TcpPacket& aPacket,
                           wire::Forward aForward,
--- a/src/agent/flow_record.hpp
+++ b/src/agent/flow_record.hpp
@@ -8,6 +8,11 @@
 
 namespace cornelcross::agent {
 
+/// @brief Distance by which an acknowledgement may be behind the upstream's next sequence number:
+/// the largest window with scaling in common use. A stale or foreign acknowledgement fits with a
+/// probability of 1 in 1024.
+inline constexpr std::uint32_t kAckWindowBytes = 4 * 1024 * 1024;
+
 /// @brief Phase of a flow's TCP connection.
 enum class FlowState : std::uint8_t
 {
--- a/src/agent/owner_lookups.cpp
+++ b/src/agent/owner_lookups.cpp
@@ -31,6 +31,16 @@
 /// Rounds without a reply after which an agent gets the packets.
 constexpr std::uint32_t kMinRoundsBeforeCopies = 2;
 
+/// Time after a packet at a likely owner in which copies to all undecided agents may follow. Later
+/// ones would have taken a living flow elsewhere for as long, if one of them comes before its own.
+constexpr base::Duration kTrialSpan = std::chrono::milliseconds(1500);
+
+/// Undecided agents of which at most one gets a packet of a flow that it does not own.
+constexpr std::size_t kFewAgents = 2;
+
+/// Time for which the statement holds that an agent would deliver a packet.
+constexpr base::Duration kStatementLifetime = std::chrono::milliseconds(250);
+
 constexpr std::size_t kMaxLookups = 512;
 constexpr std::size_t kMaxPacketsPerLookup = 16; // the largest window of a caller
 constexpr std::size_t kMaxWaitingPackets = 1024;
@@ -85,7 +95,10 @@
   }
   lookup.mPackets.push_back(std::move(aForward.mPacket));
   ++mWaitingPackets;
-  return startRound(aNow);
+  Actions actions;
+  tryLikelyOwner(aNow, lookup, aForward, actions);
+  append(actions, startRound(aNow));
+  return actions;
 }
 
 routing::CandidateServices OwnerLookups::services(const flow::FlowKey& aFlow) const
@@ -204,12 +217,22 @@
   if (ownership == wire::FlowOwnership::kOwned) {
     return recordOwner(found, mSelf, aActions);
   }
-  if (ownership == wire::FlowOwnership::kDenied) {
-    found->second.mDeniedBy.insert(mSelf);
+  recordOwnership(aNow, found->second, mSelf, ownership);
+  return false;
+}
+
+void OwnerLookups::recordOwnership(base::Time aNow,
+                                   Lookup& aLookup,
+                                   flow::Endpoint aAgent,
+                                   wire::FlowOwnership aOwnership)
+{
+  if (aOwnership == wire::FlowOwnership::kDenied) {
+    aLookup.mDeniedBy.insert(aAgent);
+  } else if (aOwnership == wire::FlowOwnership::kUnknown) {
+    aLookup.mDeliverableAt[aAgent] = aNow;
   } else {
-    found->second.mUnknownAt.insert(mSelf);
+    aLookup.mDeliverableAt.erase(aAgent);
   }
-  return false;
 }
 
 Actions OwnerLookups::startRound(base::Time aNow)
@@ -280,10 +303,8 @@
     lookup->second.mNewestRevision = std::max(lookup->second.mNewestRevision, aRevision);
     if (aReply.mOwnerships[i] == wire::FlowOwnership::kOwned) {
       recordOwner(lookup, aFrom, actions);
-    } else if (aReply.mOwnerships[i] == wire::FlowOwnership::kDenied) {
-      lookup->second.mDeniedBy.insert(aFrom);
     } else {
-      lookup->second.mUnknownAt.insert(aFrom);
+      recordOwnership(aNow, lookup->second, aFrom, aReply.mOwnerships[i]);
     }
   }
   if (!mRoundFlows.empty() && mQueries.areOnlySilentAgentsLeft(aNow)) {
@@ -327,25 +348,6 @@
          configuration.mIsRetainedStateComplete;
 }
 
-// The agent of an owner in a zone that drains may have ended the draining before this process, and
-// drop the packet. The other agents get copies once those of the zone have denied the flow.
-std::vector<flow::Endpoint> OwnerLookups::selectForCopies(
-  const flow::FlowKey& aFlow,
-  const std::vector<flow::Endpoint>& aUndecided) const
-{
-  std::vector<flow::Endpoint> draining;
-  for (const routing::ServiceRoutes* routes : services(aFlow)) {
-    const auto& agents = routes->drainingAgents();
-    std::copy_if(aUndecided.begin(),
-                 aUndecided.end(),
-                 std::back_inserter(draining),
-                 [&](flow::Endpoint aAgent) {
-                   return std::find(agents.begin(), agents.end(), aAgent) != agents.end();
-                 });
-  }
-  return draining.empty() ? aUndecided : draining;
-}
-
 void OwnerLookups::conclude(base::Time aNow, const flow::FlowKey& aFlow, Actions& aActions)
 {
   const auto found = mLookups.find(aFlow);
@@ -372,18 +374,54 @@
   }
   // An agent that gets a copy can answer as soon as its upstream has returned the packet.
   const std::size_t actionsBefore = aActions.size();
-  if (!mayBeOutOfService) {
-    copyToUndecided(aNow, lookup, selectForCopies(aFlow, undecided), aActions);
+  const bool isCopyNew =
+    std::any_of(lookup.mCopiedAt.begin(), lookup.mCopiedAt.end(), [&](const auto& aCopied) {
+      return aNow - aCopied.second < kMinRoundInterval;
+    });
+  const bool isPending = isCopyPending(aNow, lookup, undecided);
+  const bool isTimedOut = aNow - lookup.mStartedAt >= kLookupTimeout;
+  const bool isTrialRecent = !lookup.mTriedAt || aNow - *lookup.mTriedAt < kTrialSpan;
+  if (!mayBeOutOfService && !isPending && !isTimedOut && isTrialRecent &&
+      willOwnerGetCopy(aNow, lookup, undecided)) {
+    copyToUndecided(aNow, lookup, undecided, aActions);
   }
-  const bool hasSentCopies = aActions.size() > actionsBefore;
+  const bool hasSentCopies = aActions.size() > actionsBefore || isCopyNew;
   lookup.mNextRoundAt = aNow + (hasSentCopies ? kMinRoundInterval : kRetryInterval);
-  if (aNow - lookup.mStartedAt >= kLookupTimeout) {
+  if (isTimedOut && !isPending) {
     aActions.emplace_back(DropPacket{ DropReason::kNoOwner });
     aActions.emplace_back(makeNotFound(aNow, aFlow, lookup));
     erase(found);
   }
 }
 
+// An upstream that does not return a packet at once probably owns the flow, but its agent states so
+// only after the upstream has answered. Copies to others would then be the last packets of the
+// flow.
+bool OwnerLookups::isCopyPending(base::Time aNow,
+                                 const Lookup& aLookup,
+                                 const std::vector<flow::Endpoint>& aUndecided)
+{
+  return std::any_of(aUndecided.begin(), aUndecided.end(), [&](flow::Endpoint aAgent) {
+    const auto copied = aLookup.mCopiedAt.find(aAgent);
+    return copied != aLookup.mCopiedAt.end() && aNow - copied->second < kCopyInterval;
+  });
+}
+
+// True if copies to all undecided agents reach the owner if it is alive, or if they are too few to
+// take the flow elsewhere. A silent agent may own the flow, and so may one that states that it
+// would not deliver a packet, whatever this process has of its zone.
+bool OwnerLookups::willOwnerGetCopy(base::Time aNow,
+                                    const Lookup& aLookup,
+                                    const std::vector<flow::Endpoint>& aUndecided) const
+{
+  return aUndecided.size() <= kFewAgents ||
+         std::all_of(aUndecided.begin(), aUndecided.end(), [&](flow::Endpoint aAgent) {
+           const auto found = aLookup.mDeliverableAt.find(aAgent);
+           return found != aLookup.mDeliverableAt.end() &&
+                  aNow - found->second <= kStatementLifetime;
+         });
+}
+
 // An upstream returns the packets of a flow that it does not have, so that its agent can deny the
 // flow afterwards. An agent of an earlier version does not reply to lookups, and delivers the
 // packets if it owns the flow. Agents that only reply late get no packets in the first round:
@@ -394,24 +432,54 @@
                                    const std::vector<flow::Endpoint>& aUndecided,
                                    Actions& aActions) const
 {
-  // One packet suffices: an owner replies to the next round that it owns the flow.
-  const auto smallest = std::min_element(
-    aLookup.mPackets.begin(), aLookup.mPackets.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.size() < aRight.size();
-    });
   for (const flow::Endpoint agent : aUndecided) {
-    const bool isSilent = !aLookup.mUnknownAt.contains(agent);
+    const bool isSilent = !aLookup.mDeliverableAt.contains(agent);
     if (isSilent && aLookup.mRounds < kMinRoundsBeforeCopies) {
       continue;
     }
-    const auto [copied, isFirst] = aLookup.mCopiedAt.try_emplace(agent, aNow);
-    if (isFirst || aNow - copied->second >= kCopyInterval) {
-      copied->second = aNow;
-      sendPacket(aLookup, *smallest, agent, aActions);
+    const auto copied = aLookup.mCopiedAt.find(agent);
+    if (copied == aLookup.mCopiedAt.end() || aNow - copied->second >= kCopyInterval) {
+      sendCopy(aNow, aLookup, agent, aActions);
     }
   }
 }
 
+// The agent that a balancer assumes to be the owner, or one that was the owner while its zone was
+// out of service, is tried without waiting for the others. A packet that came from a cached owner's
+// upstream was tried there.
+void OwnerLookups::tryLikelyOwner(base::Time aNow,
+                                  Lookup& aLookup,
+                                  const wire::Forward& aForward,
+                                  Actions& aActions) const
+{
+  const auto stored = mOwnersOutOfService.find(aLookup.mLastPacket.keyFromCaller());
+  const bool isStored = stored != mOwnersOutOfService.end() && aNow < stored->second.mUntil;
+  const bool hasReachedOne = aForward.mPossibleOwners.empty() && aForward.mHops > 0;
+  const bool hasLikelyOwner = isStored || !aForward.mPossibleOwners.empty();
+  if (!aLookup.mTriedAt && !hasReachedOne && hasLikelyOwner) {
+    const flow::Endpoint likely =
+      isStored ? stored->second.mAgent : aForward.mPossibleOwners.front();
+    sendCopy(aNow, aLookup, likely, aActions);
+  }
+  if (!aLookup.mTriedAt && (hasReachedOne || hasLikelyOwner)) {
+    aLookup.mTriedAt = aNow;
+  }
+}
+
+// One packet suffices: an owner replies to the next round that it owns the flow.
+void OwnerLookups::sendCopy(base::Time aNow,
+                            Lookup& aLookup,
+                            flow::Endpoint aAgent,
+                            Actions& aActions) const
+{
+  const auto smallest = std::min_element(
+    aLookup.mPackets.begin(), aLookup.mPackets.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.size() < aRight.size();
+    });
+  aLookup.mCopiedAt[aAgent] = aNow;
+  sendPacket(aLookup, *smallest, aAgent, aActions);
+}
+
 // Marked as a copy, the packet ends at its receiver.
 void OwnerLookups::sendPacket(const Lookup& aLookup,
                               const flow::Bytes& aPacket,
@@ -475,12 +543,17 @@
   const auto yesOrNo = [](bool aValue) { return std::string(aValue ? "yes" : "no"); };
   const auto undecided = undecidedAgents(aNow, aFlow, aLookup);
   const auto outOfService = undecidedOutOfService(aNow, aFlow, aLookup);
+  const auto undeliverable =
+    std::count_if(undecided.begin(), undecided.end(), [&](flow::Endpoint aAgent) {
+      return !aLookup.mDeliverableAt.contains(aAgent);
+    });
   const bool hasSameList = aLookup.mListedDigest == routing::listedDigest(services(aFlow));
   return telemetry::Event{ telemetry::EventKind::kOwnerNotFound,
                            { { "flow", aFlow.toString() },
                              { "denied", std::to_string(aLookup.mDeniedBy.size()) },
                              { "undecided", std::to_string(undecided.size()) },
                              { "first_undecided", firstOf(undecided) },
+                             { "undeliverable", std::to_string(undeliverable) },
                              { "undecided_out", std::to_string(outOfService.size()) },
                              { "first_undecided_out", firstOf(outOfService) },
                              { "same_list", yesOrNo(hasSameList) },
--- a/src/agent/owner_lookups.hpp
+++ b/src/agent/owner_lookups.hpp
@@ -78,8 +78,12 @@
     std::uint64_t mNewestRevision = 0;  ///< highest revision of the agents that replied
     std::set<flow::Endpoint> mDeniedBy; ///< agents whose upstream does not have the flow
     std::optional<flow::Endpoint> mOwnerOutOfService; ///< owner in a zone out of service
-    std::set<flow::Endpoint> mUnknownAt; ///< agents that cannot rule out that they own the flow
+    /// Agents that cannot rule out that they own the flow and would deliver its packets, with the
+    /// time of the statement.
+    std::map<flow::Endpoint, base::Time> mDeliverableAt;
+
     std::map<flow::Endpoint, base::Time> mCopiedAt; ///< agents that received a packet
+    std::optional<base::Time> mTriedAt;             ///< a single likely owner got a packet
   };
 
   using Lookups = std::map<flow::FlowKey, Lookup>;
@@ -90,12 +94,25 @@
   void deliverToOwner(Lookups::iterator aLookup, flow::Endpoint aOwner, Actions& aActions);
   bool recordOwner(Lookups::iterator aLookup, flow::Endpoint aOwner, Actions& aActions);
   void conclude(base::Time aNow, const flow::FlowKey& aFlow, Actions& aActions);
-  std::vector<flow::Endpoint> selectForCopies(const flow::FlowKey& aFlow,
-                                              const std::vector<flow::Endpoint>& aUndecided) const;
+  void recordOwnership(base::Time aNow,
+                       Lookup& aLookup,
+                       flow::Endpoint aAgent,
+                       wire::FlowOwnership aOwnership);
+  static bool isCopyPending(base::Time aNow,
+                            const Lookup& aLookup,
+                            const std::vector<flow::Endpoint>& aUndecided);
+  bool willOwnerGetCopy(base::Time aNow,
+                        const Lookup& aLookup,
+                        const std::vector<flow::Endpoint>& aUndecided) const;
   void copyToUndecided(base::Time aNow,
                        Lookup& aLookup,
                        const std::vector<flow::Endpoint>& aUndecided,
                        Actions& aActions) const;
+  void tryLikelyOwner(base::Time aNow,
+                      Lookup& aLookup,
+                      const wire::Forward& aForward,
+                      Actions& aActions) const;
+  void sendCopy(base::Time aNow, Lookup& aLookup, flow::Endpoint aAgent, Actions& aActions) const;
   void sendPacket(const Lookup& aLookup,
                   const flow::Bytes& aPacket,
                   flow::Endpoint aAgent,
--- a/src/agent/ownership.cpp
+++ b/src/agent/ownership.cpp
@@ -12,17 +12,22 @@
 
 // A half-open record proves nothing: the caller may have acknowledged the SYN of another upstream.
 // A refused connection proves the same whichever service the configuration assigns, if any. The
-// other evidence counts only for the flows that this agent would have received.
+// other evidence counts only for the flows that this agent would have received. An owner states so
+// whatever the state of its zone. Without a record, a zone that drains may end it at any time.
 wire::FlowOwnership FlowManager::ownershipOf(base::Time aNow, const flow::FlowKey& aFlow) const
 {
   const FlowRecord* record = mFlows.find(aFlow);
-  if (record != nullptr) {
-    return record->mState == FlowState::kHalfOpen ? wire::FlowOwnership::kUnknown
-                                                  : wire::FlowOwnership::kOwned;
+  if (record != nullptr && record->mState != FlowState::kHalfOpen) {
+    return wire::FlowOwnership::kOwned;
   }
   const bool isServed = mUpstream && mConfiguration->serves(mServiceName, aFlow.mService);
   const bool isDenied = mEvidence.hasSeenRefusal() || (isServed && mayDeny(aNow, aFlow));
-  return isDenied ? wire::FlowOwnership::kDenied : wire::FlowOwnership::kUnknown;
+  if (record == nullptr && isDenied) {
+    return wire::FlowOwnership::kDenied;
+  }
+  const bool isDeliverable =
+    isServed && acceptsPackets() && !mConfiguration->isZoneDraining(mUpstream->mZone);
+  return isDeliverable ? wire::FlowOwnership::kUnknown : wire::FlowOwnership::kUndeliverable;
 }
 
 Actions FlowManager::onOwnerLookup(base::Time aNow,
@@ -35,8 +40,10 @@
     reply.mOwnerships.push_back(ownershipOf(aNow, flow));
   }
   mIsEvidenceNeeded =
-    std::find(reply.mOwnerships.begin(), reply.mOwnerships.end(), wire::FlowOwnership::kUnknown) !=
-    reply.mOwnerships.end();
+    std::any_of(reply.mOwnerships.begin(), reply.mOwnerships.end(), [](auto aOwnership) {
+      return aOwnership == wire::FlowOwnership::kUnknown ||
+             aOwnership == wire::FlowOwnership::kUndeliverable;
+    });
   Actions actions{ SendMessage{ aFrom, std::move(reply) } };
   append(actions, tryUpstream(aNow));
   return actions;
--- a/src/agent/returned_packets.cpp
+++ b/src/agent/returned_packets.cpp
@@ -13,18 +13,17 @@
   return { DeliverToUpstream{ mUpstream->mAddress, std::move(aPacket) } };
 }
 
-// While an upstream in a zone that was taken out of service may own the flow, its packets are not
-// delivered to other upstreams in order to find the owner. Only the agent that the balancer names
-// as the likely owner delivers packets, one within the time in which an upstream returns it. A copy
-// is sent only after the agents of that zone have denied the flow.
+// A packet of a living flow must not reach several upstreams that do not own it, whatever becomes
+// of it on the way to its own. Only the agent that the balancer has cached as the owner delivers a
+// packet to find out, one within the time in which an upstream returns it, and agents that a lookup
+// selects: the lookup counts for the whole fleet.
 bool FlowManager::mayQuery(base::Time aNow,
                            const flow::TcpPacket& aPacket,
                            const wire::Forward& aForward) const
 {
-  const bool isLikelyOwner =
-    aForward.mPage == wire::kNoPage && !mUpstreamQueries.isPending(aNow, aPacket.keyFromCaller());
-  return aForward.mIsCopy || isLikelyOwner ||
-         !mCandidateForwarder.mayBeOwnedInZoneTakenOut(aPacket);
+  const bool isCachedOwner = aForward.mPage == wire::kNoPage && aForward.mHops == 0 &&
+                             !mUpstreamQueries.isPending(aNow, aPacket.keyFromCaller());
+  return aForward.mIsCopy || isCachedOwner;
 }
 
 // The upstream returns the packet if it does not own the flow. Forwarding to further candidates can
@@ -37,6 +36,9 @@
   const bool isKnown = mayDeny(aNow, key);
   if (isKnown || !mayQuery(aNow, aPacket, aForward) || !mUpstreamQueries.start(aNow, key, false)) {
     aForward.mIsDeniedByAll = aForward.mIsDeniedByAll && isKnown;
+    if (!isKnown && aForward.mPage == wire::kNoPage) {
+      aForward.mPossibleOwners = { mSettings.mSelf }; // the first that a lookup tries
+    }
     return mCandidateForwarder.forward(aNow, aPacket, std::move(aForward));
   }
   // An agent that is queried at the same time as other agents does not have their results.
@@ -86,6 +88,7 @@
   }
   forward->mPacket = std::move(aBytes);
   forward->mPlacement = {};
+  forward->mHops = aPacket.isInitialSyn() ? forward->mHops : std::uint8_t{ 1 };
   append(actions, mCandidateForwarder.forward(aNow, aPacket, std::move(*forward)));
   return actions;
 }
--- a/src/agent/upstream_packets.cpp
+++ b/src/agent/upstream_packets.cpp
@@ -7,6 +7,18 @@
 // Members of FlowManager that handle packets of the upstream.
 namespace cornelcross::agent {
 
+namespace {
+
+/// True if the SYN-ACK repeats that of an adopted connection, in response to a late copy of the
+/// SYN, which the agent could not recognise. A new connection has another initial sequence number.
+bool isRepeatedSynAck(const FlowRecord& aRecord, const flow::TcpPacket& aPacket)
+{
+  return aRecord.mIsAdopted && aRecord.mIsUpstreamNextValid &&
+         aRecord.mUpstreamNextSequence - aPacket.nextSequence() <= kAckWindowBytes;
+}
+
+} // namespace
+
 Actions FlowManager::onUpstreamPacket(base::Time aNow, flow::Bytes aPacket)
 {
   mUpstreamWatch.onPacket();
@@ -125,9 +137,11 @@
       mMeasurementCallbacks.mOnFlowAccepted) {
     mMeasurementCallbacks.mOnFlowAccepted(aNow - aRecord.mRequestStartedAt);
   }
-  const bool isNewConnection = aRecord.mPendingInitialSequence != 0 &&
-                               aPacket.mAcknowledgement == aRecord.mPendingInitialSequence + 1;
-  if (isNewConnection) {
+  const bool isPending = aRecord.mPendingInitialSequence != 0 &&
+                         aPacket.mAcknowledgement == aRecord.mPendingInitialSequence + 1;
+  if (isPending && isRepeatedSynAck(aRecord, aPacket)) {
+    aRecord.mCallerInitialSequence = std::exchange(aRecord.mPendingInitialSequence, 0);
+  } else if (isPending) {
     // The upstream lost the recorded connection and accepted a new one with the same port.
     aActions.emplace_back(closeFlow(aNow, aPacket.keyFromUpstream(), aRecord, "port_reused"));
     const std::uint32_t initial = aRecord.mPendingInitialSequence;
--- a/src/balancer/packet_router.cpp
+++ b/src/balancer/packet_router.cpp
@@ -103,6 +103,7 @@
   moveSuspectsLast(aNow, aForward.mCandidates);
   if (listsOnlyLikelyOwner) {
     aForward.mCandidates.resize(std::min<std::size_t>(aForward.mCandidates.size(), 1));
+    aForward.mHops = 1; // the agent is assumed by its rank
     return;
   }
   aForward.mIsLastPage = page.mIsLastPage;
--- a/src/routing/service_routes.cpp
+++ b/src/routing/service_routes.cpp
@@ -10,9 +10,14 @@
                [&](const auto& aUpstream) { return aConfiguration.acceptsPackets(aUpstream); })
   , mEligible(aService,
               [&](const auto& aUpstream) { return aConfiguration.acceptsNewFlows(aUpstream); })
-  , mIneligibleReceivers(aService, [&](const auto& aUpstream) {
-    return aConfiguration.acceptsPackets(aUpstream) && !aConfiguration.acceptsNewFlows(aUpstream) &&
-           aUpstream.mState != config::UpstreamState::kRemoved;
+  , mIneligibleReceivers(aService,
+                         [&](const auto& aUpstream) {
+                           return aConfiguration.acceptsPackets(aUpstream) &&
+                                  !aConfiguration.acceptsNewFlows(aUpstream) &&
+                                  aUpstream.mState != config::UpstreamState::kRemoved;
+                         })
+  , mListed(aService, [](const auto& aUpstream) {
+    return aUpstream.mState != config::UpstreamState::kRemoved;
   })
 {
   for (const config::Upstream& upstream : mService.mUpstreams) {
@@ -65,9 +70,22 @@
   } else {
     mReceivers.rank(aFlowHash, aLimit, indices);
   }
+  return agentsOf(indices);
+}
+
+std::vector<flow::Endpoint> ServiceRoutes::listedAgents(std::uint64_t aHash,
+                                                        std::size_t aLimit) const
+{
+  std::vector<std::size_t> indices;
+  mListed.rank(aHash, aLimit, indices);
+  return agentsOf(indices);
+}
+
+std::vector<flow::Endpoint> ServiceRoutes::agentsOf(const std::vector<std::size_t>& aIndices) const
+{
   std::vector<flow::Endpoint> agents;
-  agents.reserve(indices.size());
-  for (const std::size_t index : indices) {
+  agents.reserve(aIndices.size());
+  for (const std::size_t index : aIndices) {
     agents.push_back(mService.mUpstreams[index].mAgent);
   }
   return agents;
--- a/src/routing/service_routes.hpp
+++ b/src/routing/service_routes.hpp
@@ -66,7 +66,13 @@
                                          bool aIsNewFlow,
                                          std::size_t aLimit) const;
 
+  /// @brief The first aLimit agents of listed upstreams for a hash, whatever the states of the
+  /// upstreams and their availability zones, which processes receive at different times.
+  std::vector<flow::Endpoint> listedAgents(std::uint64_t aHash, std::size_t aLimit) const;
+
 private:
+  std::vector<flow::Endpoint> agentsOf(const std::vector<std::size_t>& aIndices) const;
+
   config::Service mService;
   std::unordered_map<flow::Endpoint, std::string, flow::EndpointHash> mZoneByAgent;
   std::vector<flow::Endpoint> mReceiverAgents;
@@ -79,6 +85,7 @@
   Ranking mReceivers;           ///< upstreams that accept packets
   Ranking mEligible;            ///< upstreams that accept new flows
   Ranking mIneligibleReceivers; ///< listed upstreams that accept packets but no new flows
+  Ranking mListed;              ///< upstreams that a document lists
 };
 
 } // namespace cornelcross::routing
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -58,7 +58,7 @@
   return !aReply.mOwnerships.empty() && aReply.mOwnerships.size() <= kMaxLookupFlows &&
          std::all_of(
            aReply.mOwnerships.begin(), aReply.mOwnerships.end(), [](FlowOwnership aOwnership) {
-             return aOwnership <= FlowOwnership::kUnknown;
+             return aOwnership <= FlowOwnership::kUndeliverable;
            });
 }
 
--- a/src/wire/forward.hpp
+++ b/src/wire/forward.hpp
@@ -23,8 +23,10 @@
   bool mIsListFromAgent = false;
   bool mIsLastPage = false;   ///< no page of candidates follows
   bool mIsDeniedByAll = true; ///< all visited candidates denied the flow
-  bool mIsCopy = false;   ///< copy for one suspected agent; the original continues along the list
-  std::uint8_t mHops = 0; ///< agents that received the packet; counted only for a SYN
+  bool mIsCopy = false; ///< copy for one suspected agent; the original continues along the list
+  /// Of a SYN: agents that received it. Of another packet: upstreams that the packet has reached or
+  /// may reach in search of its owner; a balancer that only assumes the owner counts its agent.
+  std::uint8_t mHops = 0;
   PlacementState mPlacement; ///< progress of the placement; used only for a SYN
   OwnershipQuery mOwnershipQuery = OwnershipQuery::kNone; ///< purpose of the message
   std::vector<flow::Endpoint> mPossibleOwners; ///< visited agents whose upstream may own the flow
--- a/tests/ownership/fleet.hpp
+++ b/tests/ownership/fleet.hpp
@@ -59,6 +59,9 @@
   void stepClock(std::size_t aVm, std::chrono::milliseconds aStep);
   void blockPath(std::size_t aFrom, std::size_t aTo, base::Duration aDuration);
 
+  /// @brief Share of the packets of callers that arrive up to 1.5 s late from now on.
+  void setLateShare(double aShare) { mLateShare = aShare; }
+
 private:
   base::Duration between(base::Duration aMin, base::Duration aMax)
   {
@@ -96,6 +99,7 @@
   config::Configuration mDocuments;                ///< content of the store
   std::vector<config::ConfigurationPtr> mVersions; ///< published, by revision - 1
   bool mIsStoreAvailable = true;
+  double mLateShare = 0;
   std::vector<std::function<void()>> mDelayedWrites; ///< while the store is away
   std::map<std::pair<std::size_t, std::size_t>, base::Time> mBlockedUntil;
   std::map<std::uint32_t, UpstreamInstance> mAcceptedBy; ///< by initial sequence number
--- a/tests/ownership/test_ownership.cpp
+++ b/tests/ownership/test_ownership.cpp
@@ -97,6 +97,16 @@
   play(RunKind::kMixed);
 }
 
+BOOST_AUTO_TEST_CASE(zone_returning)
+{
+  play(RunKind::kZoneReturning);
+}
+
+BOOST_AUTO_TEST_CASE(late_copies)
+{
+  play(RunKind::kLateCopies);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelcross::test
