--- a/src/membership/actions.hpp
+++ b/src/membership/actions.hpp
@@ -35,6 +35,9 @@
   /// Maximum time for which the service may delay its response until a document changes.
   unsigned mWaitSeconds = 0;
 
+  /// Only the changes since the last read are of interest.
+  bool mIsCheck = false;
+
   auto operator<=>(const ReadService&) const = default;
 };
 
--- a/src/membership/configuration_sync.cpp
+++ b/src/membership/configuration_sync.cpp
@@ -57,7 +57,8 @@
     return {};
   }
   mConfirmation.startRound(aNow);
-  mServiceSchedule.requestRead(aNow);
+  mServiceSchedule.requestCheck(aNow);
+  mIsReadOutdated = true;
   mFirstReadDecision.reset();
   mNextConfirmationQuery = aNow;
   return { telemetry::Event{ telemetry::EventKind::kProcessPaused,
@@ -175,9 +176,9 @@
   if (mFirstReadDecision) {
     return;
   }
-  if (const auto maxWaitSeconds =
-        mServiceSchedule.start(aNow, isReader() || mIsProvisional, mRandom)) {
-    aActions.emplace_back(ReadService{ mRevision, *maxWaitSeconds });
+  if (const auto read = mServiceSchedule.start(aNow, isReader() || mIsProvisional, mRandom)) {
+    mIsReadOutdated = false;
+    aActions.emplace_back(ReadService{ mRevision, read->mWaitSeconds, read->mIsCheck });
   }
 }
 
@@ -267,7 +268,9 @@
   Actions actions = detectPause(aNow);
   const bool isUpToDate = aRevision && *aRevision >= mRevision;
   mServiceSchedule.onReadFinished(aNow, isUpToDate, mRandom);
-  if (aRevision) {
+  // A response to a read from before a pause states what was current then. The pause may be the
+  // time that this process took to apply the response, which a check costs far less of.
+  if (aRevision && !mIsReadOutdated) {
     mConfirmation.onServiceResponse(*aRevision, aIsCurrent);
   }
   readServiceIfDue(aNow, actions);
--- a/src/membership/configuration_sync.hpp
+++ b/src/membership/configuration_sync.hpp
@@ -69,7 +69,8 @@
   void onRetainedStateComplete() { mNeedsRetainedState = false; }
 
   /// @brief Detects a pause of this process by the time since the last call and starts a
-  /// confirmation round after a pause. To be called before each decision about a packet.
+  /// confirmation round after a pause: asks peers and the service whether there are changes. To be
+  /// called before each decision about a packet.
   Actions detectPause(base::Time aNow);
 
   /// @brief True if the active revision is confirmed, so that packets may be forwarded.
@@ -116,6 +117,7 @@
   base::Time mNextRejectedKeyPull;
   std::optional<base::Time> mFirstReadDecision; ///< when to decide; empty once decided
   bool mIsProvisional = false;                  ///< see setProvisional()
+  bool mIsReadOutdated = false;                 ///< a pause since the read in progress started
   bool mNeedsRetainedState = true;
   std::optional<flow::Endpoint> mRetainedStatePeer;
   base::Time mNextRetainedStatePull;
--- a/src/membership/runtime.cpp
+++ b/src/membership/runtime.cpp
@@ -207,7 +207,7 @@
   mReadRevision = aAction.mAfterRevision;
   mBudget.charge(net::MainLoop::now(), kServiceRequestBytes);
   countControlMessage(ControlKind::kServiceRead, "out", kServiceRequestBytes);
-  mDocumentSource.mRead(aAction.mAfterRevision, aAction.mWaitSeconds);
+  mDocumentSource.mRead(aAction.mAfterRevision, aAction.mWaitSeconds, aAction.mIsCheck);
 }
 
 void Runtime::perform(const telemetry::Event& aEvent)
--- a/src/membership/service_schedule.cpp
+++ b/src/membership/service_schedule.cpp
@@ -1,5 +1,7 @@
 #include "membership/service_schedule.hpp"
 
+#include <utility>
+
 namespace cornelcross::membership {
 
 namespace {
@@ -23,23 +25,38 @@
   mEarliestRead = aNow;
 }
 
-std::optional<unsigned> ServiceSchedule::start(base::Time aNow, bool aIsReader, Random& aRandom)
+void ServiceSchedule::requestCheck(base::Time aNow)
+{
+  mIsCheckRequested = true;
+  mIsInProgress = mIsInProgress && !mIsWaiting;
+  mEarliestRead = aNow;
+}
+
+ServiceRead ServiceSchedule::startRead(ServiceRead aRead)
+{
+  mIsInProgress = true;
+  mIsWaiting = aRead.mWaitSeconds > 0;
+  return aRead;
+}
+
+std::optional<ServiceRead> ServiceSchedule::start(base::Time aNow, bool aIsReader, Random& aRandom)
 {
   if (mIsInProgress || aNow < mEarliestRead) {
     return std::nullopt;
   }
-  if (mIsReadRequested) {
-    mIsReadRequested = false;
-    mIsInProgress = true;
-    return 0;
+  const bool isCheckRequested = std::exchange(mIsCheckRequested, false);
+  if (std::exchange(mIsReadRequested, false)) {
+    return startRead({ 0, false });
+  }
+  if (isCheckRequested) {
+    return startRead({ 0, true });
   }
   const auto age = responseAge(aNow);
   if (!aIsReader && age && *age < mStaleAfter) {
     return std::nullopt;
   }
   mStaleAfter = mSettings.mServiceStaleAfter + aRandom.between({}, mSettings.mServiceStaleJitter);
-  mIsInProgress = true;
-  return aIsReader ? kMaxWatchSeconds : 0;
+  return startRead({ aIsReader ? kMaxWatchSeconds : 0, !aIsReader });
 }
 
 void ServiceSchedule::onReadFinished(base::Time aNow, bool aIsCurrent, Random& aRandom)
--- a/src/membership/service_schedule.hpp
+++ b/src/membership/service_schedule.hpp
@@ -7,6 +7,18 @@
 
 namespace cornelcross::membership {
 
+/// @brief One read of the configuration service.
+struct ServiceRead
+{
+  /// Maximum delay of the response in seconds. The service delays it until a document changes.
+  unsigned mWaitSeconds = 0;
+
+  /// Only what has changed since this process last read is of interest.
+  bool mIsCheck = false;
+
+  auto operator<=>(const ServiceRead&) const = default;
+};
+
 /// @brief Decides when a process reads the configuration service.
 ///
 /// A reader watches the service: it starts the next read when one ends. Any other process reads
@@ -20,16 +32,19 @@
   explicit ServiceSchedule(const Settings& aSettings);
 
   /// @brief Requests one read at aNow, regardless of a read in progress; used at the start of the
-  /// process and after a pause.
+  /// process.
   void requestRead(base::Time aNow);
 
+  /// @brief Requests a check of what has changed; used after a pause. Replaces a read that waits
+  /// for a change, but not one in progress that makes a complete list: a process that reads a large
+  /// list slowly would start it over and over.
+  void requestCheck(base::Time aNow);
+
   /// @brief Does without the read with which a process starts, because peers have recent documents.
   void skipFirstRead() { mIsReadRequested = false; }
 
-  /// @brief Starts a read if one is due.
-  /// @return maximum delay of the response in seconds; empty if no read is due. The service delays
-  ///         its response until a document changes.
-  std::optional<unsigned> start(base::Time aNow, bool aIsReader, Random& aRandom);
+  /// @brief Starts a read if one is due. @return the read; empty if none is due
+  std::optional<ServiceRead> start(base::Time aNow, bool aIsReader, Random& aRandom);
 
   /// @brief Handles the end of a read.
   /// @param aIsCurrent false if the read failed or the response is older than the active revision
@@ -45,6 +60,8 @@
   bool isInProgress() const { return mIsInProgress; }
 
 private:
+  ServiceRead startRead(ServiceRead aRead);
+
   Settings mSettings;
   Backoff mBackoff;
   bool mIsInProgress = false;
@@ -52,6 +69,8 @@
   base::Time mEarliestRead;
   base::Duration mStaleAfter;
   bool mIsReadRequested = true;
+  bool mIsCheckRequested = false;
+  bool mIsWaiting = false; ///< the read in progress waits for a change
 };
 
 } // namespace cornelcross::membership
--- a/src/net/document_source.hpp
+++ b/src/net/document_source.hpp
@@ -12,8 +12,9 @@
 struct DocumentSource
 {
   /// Starts a read of the documents that changed after a revision. The second argument is the
-  /// longest time, in seconds, that the source may wait for a change.
-  std::function<void(std::uint64_t, unsigned)> mRead;
+  /// longest time, in seconds, that the source may wait for a change. The third is true if what has
+  /// changed since the last read suffices.
+  std::function<void(std::uint64_t, unsigned, bool)> mRead;
 
   /// Returns the number of HTTP requests sent so far.
   std::function<std::uint64_t()> mRequestCount;
--- a/tests/platform/store/store_process.cpp
+++ b/tests/platform/store/store_process.cpp
@@ -24,10 +24,16 @@
   return finishRead(aRespond);
 }
 
-void StoreProcess::startRead(unsigned aWaitSeconds)
+bool StoreProcess::check(const Respond& aRespond)
+{
+  startRead(0, true);
+  return finishRead(aRespond);
+}
+
+void StoreProcess::startRead(unsigned aWaitSeconds, bool aIsCheck)
 {
   mReadRevision = mDocuments.revision();
-  mStep = mReader.start(mNow, mDocuments.revision(), aWaitSeconds);
+  mStep = mReader.start(mNow, mDocuments.revision(), aWaitSeconds, aIsCheck);
 }
 
 bool StoreProcess::finishRead(const Respond& aRespond)
--- a/tests/platform/store/store_process.hpp
+++ b/tests/platform/store/store_process.hpp
@@ -19,8 +19,11 @@
   /// @return true if the read succeeded
   bool read(const Respond& aRespond, unsigned aWaitSeconds = 0);
 
+  /// @brief Checks once for changes, as after a pause. @return true if the check succeeded
+  bool check(const Respond& aRespond);
+
   /// @brief Starts a read; finishRead() ends it.
-  void startRead(unsigned aWaitSeconds = 0);
+  void startRead(unsigned aWaitSeconds = 0, bool aIsCheck = false);
 
   /// @brief Ends a read with one response of aRespond for each request.
   /// @return true if the read succeeded
--- a/tests/platform/store/test_store_source.cpp
+++ b/tests/platform/store/test_store_source.cpp
@@ -45,7 +45,7 @@
         return true;
       }
       mIsReading = true;
-      mSource.mRead(mDocuments.revision(), 1);
+      mSource.mRead(mDocuments.revision(), 1, false);
       while (mIsReading) {
         g_main_context_iteration(nullptr, TRUE);
       }
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -68,6 +68,27 @@
   BOOST_TEST(mProcess.read(mStore));
 }
 
+// Guards against a large list for each pause: a check asks for the changes only.
+BOOST_AUTO_TEST_CASE(a_check_asks_for_changes_and_lists_if_they_are_no_longer_available)
+{
+  BOOST_TEST(mProcess.read(mStore));
+  std::vector<std::string> paths;
+  const auto respond = [&](const std::string& aPath) {
+    paths.push_back(aPath.substr(0, aPath.find('?')));
+    return mStore.respond(aPath);
+  };
+  mStore.put("servers/y", test::makeBackend("log", "10.0.0.2:80"));
+  BOOST_TEST(mProcess.check(respond));
+  BOOST_TEST((paths == std::vector<std::string>{ "/-/kv-watch" }));
+  paths.clear();
+  BOOST_TEST(mProcess.check([&](const std::string& aPath) {
+    const net::HttpClientResponse gone{ SOUP_STATUS_GONE, "", {} };
+    const auto response = respond(aPath);
+    return paths.size() == 1 ? gone : response;
+  }));
+  BOOST_TEST((paths == std::vector<std::string>{ "/-/kv-watch", "/-/kv-range" }));
+}
+
 BOOST_AUTO_TEST_CASE(a_list_whose_pages_straddle_a_restore_is_read_again)
 {
   mStore.mPageSize = 1;
