--- a/tests/process/support/process_stacks.cpp
+++ b/tests/process/support/process_stacks.cpp
@@ -22,7 +22,7 @@
   char* output = nullptr;
   const std::string command = "gdb -p " + aProcessId + " -batch -ex 'thread apply all bt'";
   g_spawn_command_line_sync(command.c_str(), &output, nullptr, nullptr, nullptr);
-  const std::string text = output == nullptr ? "" : output;
+  std::string text = output == nullptr ? "" : output;
   g_free(output);
   return text;
 }
