--- a/review/stand-in-3/platform_stand_in.py
+++ b/review/stand-in-3/platform_stand_in.py
@@ -192,7 +192,7 @@
         self.born_ms = int(time.time() * 1000)
         self.cold_until = self.born if warm else self.born + world.warmup_s
         self.state, self.sequence, self.connections, self.is_alive = "ready", 0, set(), False
-        self.clean_up = []
+        self.is_silent, self.blocked = False, []
 
     async def start(self):
         self.udp = await udp((self.machine.ip, self.world.ports["app"]), self.receive)
@@ -223,6 +223,29 @@
         for writer in list(self.connections):
             writer.transport.abort()
 
+    def fall_silent(self):
+        """Ends for good without a word: packets vanish, open connections stay open, new ones hang."""
+        self.is_silent, self.is_alive = True, False
+        self.task.cancel()
+        self.udp.close()
+        self.tcp.close()
+        address = (self.machine.ip, self.world.ports["app"])
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(0)
+        self.blocked = [listener]
+        for _ in range(3):  # a full queue of new connections: opening packets are dropped
+            client = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            client.setblocking(False)
+            client.connect_ex(address)
+            self.blocked.append(client)
+
+    def release_address(self):
+        """The address may be used again; connections of the past stay silent."""
+        for blocked in self.blocked:
+            blocked.close()
+
     async def health(self, reader, writer):
         self.connections.add(writer)
         try:
@@ -327,8 +350,8 @@
 
     def start(self):
         path = os.path.join(self.world.folder, self.name + ".json")
-        with open(path, "w") as file:
-            json.dump(self.settings(), file)
+        self.write_settings()
+        self.started_at = now()
         log = open(os.path.join(self.world.folder, self.name + ".log"), "ab")
         self.process = subprocess.Popen(
             self.world.commands[self.role], cwd=REPOSITORY, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
@@ -336,6 +359,12 @@
         log.close()
         self.is_first = False
 
+    def write_settings(self):
+        path = os.path.join(self.world.folder, self.name + ".json")
+        with open(path + ".new", "w") as file:
+            json.dump(self.settings(), file)
+        os.replace(path + ".new", path)
+
     def signal(self, number):
         self.process.send_signal(number)
 
@@ -566,6 +595,6 @@
                 task.cancel()
     try:
         return asyncio.run(run())
-    except (OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # a fault of the script or of the machine is no broken rule
         print(f"could not run: {error!r}")
         return 2
