--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,21 +12,34 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 REUSE_AFTER_S = 2.05  # reuseAfterS: 2
-EVENTS = 6
-FREEZE_AFTER_S = 0.25  # after the backend has fallen silent
-READ_BEFORE_FREEZE_S = 0.08  # the agent has read its settings this long before it stands still
+EVENTS = 10
+FREEZE_AFTER_S = 0.28  # after the backend has fallen silent
+READ_BEFORE_FREEZE_S = 0.1  # the agent has read its settings this long before it stands still
 POLL_S = 2.0
-READ_AFTER_START_S = 0.0  # the first read, up to whole periods
 ROUTES = {8443: "logbook", 9443: "certdesk"}
-FLOWS_PER_S = 200
+FLOWS_PER_S = 380  # the site has about 400 requests a second
+
+
+async def next_read(world, machine):
+    """Changes the order of the seeds and returns when the agent has read it, by its log."""
+    path = os.path.join(world.folder, machine.name + ".log")
+    position = os.path.getsize(path)
+    world.balancers.append(world.balancers.pop(0))
+    machine.write_settings()
+    for _ in range(1000):
+        with open(path, "rb") as log:
+            log.seek(position)
+            if b"event=settings_applied" in log.read():
+                return now()
+        await asyncio.sleep(0.005)
+    raise OSError("the settings were not read")
 
 
 async def replace(world, machine, ident):
     """The backend of the machine ends silently, its agent stands still, the other service gets the address."""
-    # The agent reads its settings every two seconds: what it reads while the address is used again would end the case.
-    read_at = machine.started_at + READ_AFTER_START_S
-    wait = (read_at - now() - (FREEZE_AFTER_S - READ_BEFORE_FREEZE_S)) % POLL_S
-    await asyncio.sleep(wait)
+    # What the agent reads while the address is used again would end the case, so it has to have read just before.
+    read_at = await next_read(world, machine)
+    await asyncio.sleep(read_at + POLL_S + READ_BEFORE_FREEZE_S - FREEZE_AFTER_S - now())
     former = world.backends[machine.name]
     ended = now()
     former.fall_silent()
@@ -59,8 +72,8 @@
     await asyncio.sleep(2)
     for event in range(EVENTS):
         if TROUBLE:
-            await replace(world, world.agents[event % 7], f"i-{100 + event:04x}")
-        await asyncio.sleep(9)
+            await replace(world, world.agents[event // 2 % 7], f"i-{100 + event:04x}")
+        await asyncio.sleep(3)
     is_over = True
     await traffic
     ends = await asyncio.gather(*requests)
--- a/review/stand-in-3/platform_stand_in.py
+++ b/review/stand-in-3/platform_stand_in.py
@@ -188,7 +188,7 @@
 
     def __init__(self, world, machine, ident, warm):
         self.world, self.machine, self.id, self.flows, self.running = world, machine, ident, {}, 0
-        self.born = now()
+        self.born = self.last_beat = now()
         self.born_ms = int(time.time() * 1000)
         self.cold_until = self.born if warm else self.born + world.warmup_s
         self.state, self.sequence, self.connections, self.is_alive = "ready", 0, set(), False
@@ -481,6 +481,7 @@
         self.routable = ip(8, 1)
         self.ports = self.free_ports()
         self.store, self.backends, self.rotation, self.tasks = Store(self), {}, {}, []
+        self.incarnations = []
 
     def free_ports(self):
         names = ("datagram", "readiness", "control", "outbound", "app", "store")
@@ -545,14 +546,18 @@
 
     async def expire(self):
         while True:
-            for backend in list(self.backends.values()):
-                if now() - backend.last_beat > 3 * self.heartbeat_ms / 1000 and not backend.is_alive:
-                    self.store.remove("servers/" + backend.id)
+            last = {}  # of each entry, whichever start of the backend wrote it
+            for backend in self.incarnations:
+                last[backend.id] = max(last.get(backend.id, 0.0), backend.last_beat)
+            for ident, beat in last.items():
+                if now() - beat > 3 * self.heartbeat_ms / 1000:
+                    self.store.remove("servers/" + ident)
             await asyncio.sleep(0.1)
 
     async def start_backend(self, machine, ident, warm=True):
         backend = Backend(self, machine, ident, warm)
         await backend.start()
+        self.incarnations.append(backend)
         self.backends[machine.name] = backend
         self.note("backend started", backend=ident, cold=not warm)
         return backend
