Agent: an opened flow states what showed that its upstream runs

An agent takes its upstream for running because of a packet that it sent, an accepted connection, its record, or a connection that outlasted a pause of the agent. No log line said which, so that a flow at a process of another service could not be traced to one of them. flow_opened now states the newest proof and its age.

--- a/src/agent/flow_manager.hpp
+++ b/src/agent/flow_manager.hpp
@@ -195,7 +195,7 @@
   Actions placeFlow(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions onNewFlow(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
   Actions admitFlow(base::Time aNow, const flow::TcpPacket& aPacket, wire::Forward aForward);
-  telemetry::Event openedEvent(const flow::FlowKey& aFlow) const;
+  telemetry::Event openedEvent(base::Time aNow, const flow::FlowKey& aFlow) const;
   Actions admitHedgedFlow(base::Time aNow,
                           const flow::TcpPacket& aPacket,
                           wire::Forward aForward,
--- a/src/agent/new_flows.cpp
+++ b/src/agent/new_flows.cpp
@@ -170,13 +170,13 @@
   flow::Bytes bytes = std::move(aForward.mPacket);
   Actions actions = deliverReturnable(std::move(bytes), aForward);
   sendOwnerUpdate(aPacket.keyFromCaller(), aForward, actions);
-  actions.emplace_back(openedEvent(aPacket.keyFromCaller()));
+  actions.emplace_back(openedEvent(aNow, aPacket.keyFromCaller()));
   return actions;
 }
 
-// States both what the configuration lists and what the settings state, as either may be wrong if
-// another service serves the flow.
-telemetry::Event FlowManager::openedEvent(const flow::FlowKey& aFlow) const
+// States what the configuration lists, what the settings state, and why the agent took the upstream
+// for running, as each may be wrong if another service serves the flow.
+telemetry::Event FlowManager::openedEvent(base::Time aNow, const flow::FlowKey& aFlow) const
 {
   telemetry::Event event{ telemetry::EventKind::kFlowOpened,
                           { { "flow", aFlow.toString() },
@@ -191,6 +191,11 @@
   if (mSettings.mUpstreamAddress) {
     event.mFields.emplace_back("expected_address", mSettings.mUpstreamAddress->toString());
   }
+  if (const auto& proof = mUpstreamWatch.proof()) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - proof->mAt);
+    event.mFields.emplace_back("proof", std::string(toString(proof->mKind)));
+    event.mFields.emplace_back("proof_age_ms", std::to_string(age.count()));
+  }
   return event;
 }
 
--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -57,6 +57,7 @@
 {
   mHasEnded = false;
   mHasRun = false;
+  mProof.reset();
   mIsRefused = false;
   mExpiredSince.reset();
   mLastRunningAt = aNow;
@@ -77,11 +78,14 @@
   return !isUnproven && !hasEnded(aNow);
 }
 
-void UpstreamWatch::confirmRunning(base::Time aAt)
+void UpstreamWatch::confirmRunning(UpstreamProof aProof)
 {
   mHasRun = true;
   mIsRefused = false;
-  mLastRunningAt = std::max(mLastRunningAt, aAt);
+  mLastRunningAt = std::max(mLastRunningAt, aProof.mAt);
+  if (!mProof || mProof->mAt < aProof.mAt) {
+    mProof = aProof;
+  }
 }
 
 // A process that did not run could not receive packets or connect, so that a connection that is
@@ -92,12 +96,12 @@
   const bool hasPaused = aNow - mLastCheckAt >= kMinPause;
   const bool hasStayedOpen = mIsOpen && aIsOpen && !mIsAttempting;
   if (hasPaused && hasStayedOpen && mHasRun && !mHasEnded) {
-    confirmRunning(aNow);
+    confirmRunning({ UpstreamProofKind::kOpenConnection, aNow });
   }
   mHasEnded = hasEnded(aNow);
   mIsOpen = aIsOpen;
   if (std::exchange(mHasSentPacket, false) && mHasRun && !mHasEnded) {
-    confirmRunning(mPreviousCheckAt);
+    confirmRunning({ UpstreamProofKind::kPacket, mPreviousCheckAt });
   }
   if (aNow - mLastCheckAt >= kMinCheckInterval) {
     mPreviousCheckAt = std::exchange(mLastCheckAt, aNow);
@@ -123,7 +127,7 @@
   mHasEnded = hasEnded(aNow);
   mIsOpen = mIsOpen || isAccepted;
   if (isAccepted && !mHasEnded) {
-    confirmRunning(startedAt);
+    confirmRunning({ UpstreamProofKind::kAcceptedConnection, startedAt });
   }
 }
 
@@ -164,7 +168,7 @@
   mHasEnded = hasEnded(aNow);
   if (mHasEnded && ranAt && aNow - *ranAt < mSettings.mReuseDelay) {
     revive(*ranAt);
-    mHasRun = true;
+    confirmRunning({ UpstreamProofKind::kRecord, *ranAt });
   }
 }
 
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/record_renewal.hpp"
+#include "agent/upstream_proof.hpp"
 #include "base/time.hpp"
 #include "config/upstream_record.hpp"
 #include "flow/connection_outcome.hpp"
@@ -97,10 +98,13 @@
   /// has not ended.
   bool mayReceiveFlows(base::Time aNow) const;
 
+  /// @brief The newest proof that the listed start runs; empty if there is none.
+  const std::optional<UpstreamProof>& proof() const { return mProof; }
+
 private:
   void reset(base::Time aNow);
   void revive(base::Time aRunningAt);
-  void confirmRunning(base::Time aAt);
+  void confirmRunning(UpstreamProof aProof);
   bool isEnabled() const { return mSettings.mReuseDelay > base::Duration::zero(); }
 
   UpstreamWatchSettings mSettings;
@@ -116,8 +120,9 @@
   base::Time mAttemptStartedAt;
   bool mIsAttemptOutdated = false; ///< the attempt in progress is for a start listed before
   bool mHasRun = false;            ///< the listed start was seen running
-  bool mIsAnswered = false;        ///< the last attempt was accepted
-  bool mIsRefused = false; ///< an attempt was refused since the listed start was last known to run
+  std::optional<UpstreamProof> mProof;
+  bool mIsAnswered = false; ///< the last attempt was accepted
+  bool mIsRefused = false;  ///< an attempt was refused since the listed start was last known to run
   bool mHasSeenRefusal = false; ///< an attempt was refused since this object exists
   bool mIsConfirmed = false;    ///< the configuration was confirmed since this object exists
   bool mIsInitial = false;      ///< the listed start was listed before that confirmation
--- a/tests/unit/test_upstream_presence.cpp
+++ b/tests/unit/test_upstream_presence.cpp
@@ -170,6 +170,20 @@
              nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(an_opened_flow_states_what_showed_that_the_upstream_runs)
+{
+  mNow += 300ms;
+  const auto actions = open(40000);
+  const auto* event = findAction<telemetry::Event>(actions);
+  BOOST_REQUIRE(event != nullptr);
+  const auto has = [event](const std::string& aName, const std::string& aValue) {
+    const auto& fields = event->mFields;
+    return std::find(fields.begin(), fields.end(), std::pair(aName, aValue)) != fields.end();
+  };
+  BOOST_TEST(has("proof", "accepted_connection"));
+  BOOST_TEST(has("proof_age_ms", "300"));
+}
+
 BOOST_AUTO_TEST_CASE(the_end_is_logged_once)
 {
   const auto actions = end();
