Agent: a connection that outlasts a pause of the agent proves nothing

Cause: after a pause of a second or more, UpstreamWatch took a connection that was still open for a proof that the upstream ran at that moment, and the reuse delay began anew. The connection stays open when its peer ends without closing it.

Change: a new flow needs a proof that is younger than the reuse delay, whether the agent ran in between or not. A pause only says that silence proves no end: the start is unproven until it accepts a connection, after which the settings are read again. A refusal since the last proof ends it, also across a pause. An accepted attempt that a pause outlasted is repeated at once.

Why this works: nobody else has the endpoint of a start for the reuse delay after it ran, so that proofs that follow one another within it leave no room for another process, however long the agent stood still; without one the settings, read after the connection was accepted, say whose it is.

--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -56,51 +56,59 @@
 void UpstreamWatch::reset(base::Time aNow)
 {
   mHasEnded = false;
-  mHasRun = false;
   mProof.reset();
   mIsRefused = false;
   mExpiredSince.reset();
-  mLastRunningAt = aNow;
+  mObservedSince = aNow;
 }
 
-// What runs at the endpoint before the reuse delay is over is the listed start. A refused start
-// that was not seen running may have ended long before it was listed here.
+// What runs at the endpoint before the reuse delay is over is the listed start.
+bool UpstreamWatch::isProven(base::Time aNow) const
+{
+  return mProof && aNow - mProof->mAt < mSettings.mReuseDelay;
+}
+
+// While this process did not run, the listed start could prove nothing.
+base::Time UpstreamWatch::waitingSince() const
+{
+  return mProof ? std::max(mProof->mAt, mObservedSince) : mObservedSince;
+}
+
+// A start that refused after the last proof may have ended long before it was listed here, or
+// before a pause of this process.
 bool UpstreamWatch::hasEnded(base::Time aNow) const
 {
   const bool isWatched = isEnabled() && mStart;
-  const bool hasRefused = mIsRefused && !mHasRun;
-  return mHasEnded || (isWatched && (hasRefused || aNow - mLastRunningAt >= mSettings.mReuseDelay));
+  const bool hasRefused = mIsRefused && !isProven(aNow);
+  return mHasEnded || (isWatched && (hasRefused || aNow - waitingSince() >= mSettings.mReuseDelay));
 }
 
 bool UpstreamWatch::mayReceiveFlows(base::Time aNow) const
 {
-  const bool isUnproven = isEnabled() && mStart && !mHasRun;
+  const bool isUnproven = isEnabled() && mStart && !isProven(aNow);
   return !isUnproven && !hasEnded(aNow);
 }
 
 void UpstreamWatch::confirmRunning(UpstreamProof aProof)
 {
-  mHasRun = true;
   mIsRefused = false;
-  mLastRunningAt = std::max(mLastRunningAt, aProof.mAt);
   if (!mProof || mProof->mAt < aProof.mAt) {
     mProof = aProof;
   }
 }
 
-// A process that did not run could not receive packets or connect, so that a connection that is
-// still open has to suffice. A packet that was received since the last check may have waited in the
-// socket since the check before.
+// A connection that is still open after a pause of this process proves nothing, but nor does the
+// pause show that its peer has ended. A packet that was received since the last check may have
+// waited in the socket since the check before.
 void UpstreamWatch::onConnectionChecked(base::Time aNow, bool aIsOpen)
 {
   const bool hasPaused = aNow - mLastCheckAt >= kMinPause;
-  const bool hasStayedOpen = mIsOpen && aIsOpen && !mIsAttempting;
-  if (hasPaused && hasStayedOpen && mHasRun && !mHasEnded) {
-    confirmRunning({ UpstreamProofKind::kOpenConnection, aNow });
+  if (hasPaused && mIsOpen && aIsOpen) {
+    mObservedSince = aNow;
   }
   mHasEnded = hasEnded(aNow);
   mIsOpen = aIsOpen;
-  if (std::exchange(mHasSentPacket, false) && mHasRun && !mHasEnded) {
+  if (std::exchange(mHasSentPacket, false) && isProven(aNow) && !mHasEnded) {
     confirmRunning({ UpstreamProofKind::kPacket, mPreviousCheckAt });
   }
   if (aNow - mLastCheckAt >= kMinCheckInterval) {
@@ -118,7 +126,7 @@
   const bool isRefused = aOutcome == flow::ConnectionOutcome::kRefused;
   mIsAnswered = isAccepted;
   mHasSeenRefusal = mHasSeenRefusal || isRefused;
-  mNextAttemptAt = aNow + (isAccepted ? mAcceptedInterval : base::Duration(kRetryInterval));
+  mNextAttemptAt = isAccepted ? startedAt + mAcceptedInterval : aNow + kRetryInterval;
   if (std::exchange(mIsAttemptOutdated, false)) {
     mNextAttemptAt = aNow;
     return;
@@ -136,7 +144,7 @@
 void UpstreamWatch::onServiceResponse(base::Time aNow, base::Time aRespondedAt)
 {
   const bool isAvailable = aNow - aRespondedAt <= mSettings.mMaxResponseAge;
-  const bool hasExpired = aRespondedAt >= mLastRunningAt + mSettings.mListingLifetime;
+  const bool hasExpired = aRespondedAt >= waitingSince() + mSettings.mListingLifetime;
   if (!mHasEnded || !isAvailable || !hasExpired) {
     mExpiredSince.reset();
     return;
@@ -147,11 +155,11 @@
   }
 }
 
-void UpstreamWatch::revive(base::Time aRunningAt)
+void UpstreamWatch::revive(base::Time aNow)
 {
-  reset(aRunningAt);
+  reset(aNow);
   mFormerEndedStart = mFormerEndedStart == mStart ? std::nullopt : mFormerEndedStart;
-  mNextAttemptAt = aRunningAt;
+  mNextAttemptAt = aNow;
 }
 
 // While no process answers at the endpoint, the listed start cannot serve.
@@ -174,8 +182,7 @@
 
 bool UpstreamWatch::startAttempt(base::Time aNow)
 {
-  const bool isKnownToRun = mHasRun && !mHasEnded;
-  const bool isCurrent = mIsOpen && isKnownToRun && aNow - mLastRunningAt < mAcceptedInterval;
+  const bool isCurrent = mIsOpen && mProof && !mHasEnded && aNow - mProof->mAt < mAcceptedInterval;
   if (!isEnabled() || !mStart || isCurrent || mIsAttempting || aNow < mNextAttemptAt) {
     return false;
   }
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -44,8 +44,14 @@
 /// @brief Decides from what the upstream sends and from connections to its endpoint whether the
 /// process there may be another one than the configuration lists.
 ///
-/// An open connection alone proves nothing: it may stay open when its peer has ended without
-/// closing it. The upstream must send a packet or accept another connection within the reuse delay.
+/// New flows need a proof that the listed start ran less than the reuse delay before: a packet that
+/// it sent, a connection that it accepted, or its record. How long this process ran in between, and
+/// whether a connection is still open, make no difference: the connection may stay open when its
+/// peer has ended without closing it.
+///
+/// A start without such a proof has ended if this process ran for the reuse delay and was shown
+/// none, or if the endpoint refused a connection. After a pause of this process, a start whose
+/// connection is still open is only unproven: the next connection that it accepts proves it.
 ///
 /// Nor does a listing prove that its start runs: the start may have ended before this process
 /// received the configuration. It must accept a connection. If it was listed before the
@@ -103,8 +109,10 @@
 
 private:
   void reset(base::Time aNow);
-  void revive(base::Time aRunningAt);
+  void revive(base::Time aNow);
   void confirmRunning(UpstreamProof aProof);
+  bool isProven(base::Time aNow) const;
+  base::Time waitingSince() const;
   bool isEnabled() const { return mSettings.mReuseDelay > base::Duration::zero(); }
 
   UpstreamWatchSettings mSettings;
@@ -119,14 +127,13 @@
   bool mIsAttempting = false;
   base::Time mAttemptStartedAt;
   bool mIsAttemptOutdated = false; ///< the attempt in progress is for a start listed before
-  bool mHasRun = false;            ///< the listed start was seen running
   std::optional<UpstreamProof> mProof;
   bool mIsAnswered = false; ///< the last attempt was accepted
   bool mIsRefused = false;  ///< an attempt was refused since the listed start was last known to run
   bool mHasSeenRefusal = false; ///< an attempt was refused since this object exists
   bool mIsConfirmed = false;    ///< the configuration was confirmed since this object exists
   bool mIsInitial = false;      ///< the listed start was listed before that confirmation
-  base::Time mLastRunningAt;    ///< the listed start ran at this time or later
+  base::Time mObservedSince;    ///< this process has watched the listed start without a pause
   base::Time mNextAttemptAt;
   bool mHasEnded = false;
 
--- a/tests/platform/soak/faults.hpp
+++ b/tests/platform/soak/faults.hpp
@@ -41,6 +41,7 @@
   void replaceUpstreamInPlace();
   void replaceSilentUpstreamInPlace();
   void restartAgentBeforeReuse();
+  void pauseAgentBeforeReuse();
   void restartUpstream();
   void killProgram();
   void terminateProgram();
--- a/tests/unit/test_upstream_presence.cpp
+++ b/tests/unit/test_upstream_presence.cpp
@@ -99,6 +99,17 @@
   BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) == nullptr);
 }
 
+// Guards against the same if the agent pauses in between.
+BOOST_AUTO_TEST_CASE(a_new_flow_after_a_pause_waits_for_proof_that_the_upstream_runs)
+{
+  mNow += 2s;
+  const auto actions = mAgent.onUpstreamChecked(mNow, { true, true });
+  BOOST_TEST(findAction<agent::WatchUpstream>(actions) != nullptr);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) == nullptr);
+  mAgent.onWatchAttempt(mNow, flow::ConnectionOutcome::kAccepted);
+  BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40002)) != nullptr);
+}
+
 // Guards against the loss of an upstream that sends packets but accepts no further connection.
 BOOST_AUTO_TEST_CASE(an_upstream_that_sends_packets_gets_new_flows)
 {
