Agent: a packet that waited in the socket proves nothing after its arrival

Callers may see: requests run by another service, as after the fault before. An upstream ends silently, its agent does not run for a second or more, and then reads packets of the former upstream for longer than 100 ms, from a socket that filled up meanwhile.

Cause: a packet was dated at the check before the last one before it was read, 100 to 200 ms earlier. That holds only while the socket is read faster than it fills. After a pause the second check was enough to date packets from before it after its end, which extended the proof by as much as the pause took.

Change: UdpSocket knows when it was last empty, and a packet is dated at that time as of the check before it was read.

Why this works: a packet that is read after the socket was seen empty arrived after that, however long it waited.

The other cases state besides until when packets were handled: now, as their sockets were empty; a_packet_is_as_old_as_it_may_have_waited_in_the_socket states the last check before, which was implied so far.

--- a/src/agent/runtime.cpp
+++ b/src/agent/runtime.cpp
@@ -168,9 +168,12 @@
   mLastUpstreamCheck = aNow;
   const auto age = mMembership.serviceAge(aNow);
   const auto respondedAt = age ? std::optional(aNow - *age) : std::nullopt;
-  const bool isConnected = mWatchConnection.isConnected();
-  perform(
-    mFlowManager.onUpstreamChecked(aNow, { isConnected, mMembership.isConfirmed(), respondedAt }));
+  net::UdpSocket& upstreamSocket = mUpstreamSocket ? *mUpstreamSocket : mSocket;
+  perform(mFlowManager.onUpstreamChecked(aNow,
+                                         { mWatchConnection.isConnected(),
+                                           mMembership.isConfirmed(),
+                                           respondedAt,
+                                           upstreamSocket.drainedAt() }));
 }
 
 // After a pause of the process, the check goes before all other uses of what it decides.
--- a/src/agent/upstream_check.hpp
+++ b/src/agent/upstream_check.hpp
@@ -15,6 +15,9 @@
   /// Time of the newest response of the configuration service to any process.
   std::optional<base::Time> mServiceRespondedAt = {};
 
+  /// Each packet of the upstream that arrived before this time has been handled.
+  base::Time mPacketsHandledUntil = {};
+
   auto operator<=>(const UpstreamCheck&) const = default;
 };
 
--- a/src/agent/upstream_presence.cpp
+++ b/src/agent/upstream_presence.cpp
@@ -22,7 +22,7 @@
 
 Actions FlowManager::onUpstreamChecked(base::Time aNow, const UpstreamCheck& aCheck)
 {
-  mUpstreamWatch.onConnectionChecked(aNow, aCheck.mIsConnected);
+  mUpstreamWatch.onConnectionChecked(aNow, aCheck.mIsConnected, aCheck.mPacketsHandledUntil);
   if (aCheck.mIsConfirmed) {
     mUpstreamWatch.onConfirmed();
   }
--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -13,9 +13,6 @@
 /// Bounds the connections to an upstream that sends no packets, or accepts and closes connections.
 constexpr int kAttemptsPerReuseDelay = 4;
 
-/// Two checks that are closer to each other count as one.
-constexpr base::Duration kMinCheckInterval = std::chrono::milliseconds(50);
-
 /// Time without a check that means that this process did not run.
 constexpr base::Duration kMinPause = std::chrono::seconds(1);
 
@@ -98,22 +95,22 @@
 }
 
 // A connection that is still open after a pause of this process proves nothing, but nor does the
-// pause show that its peer has ended. A packet that was received since the last check may have
-// waited in the socket since the check before.
-void UpstreamWatch::onConnectionChecked(base::Time aNow, bool aIsOpen)
+// pause show that its peer has ended. A packet that was handled since the last check may have
+// waited in the socket for as long as others did then.
+void UpstreamWatch::onConnectionChecked(base::Time aNow,
+                                        bool aIsOpen,
+                                        base::Time aPacketsHandledUntil)
 {
-  const bool hasPaused = aNow - mLastCheckAt >= kMinPause;
+  const bool hasPaused = aNow - std::exchange(mLastCheckAt, aNow) >= kMinPause;
   if (hasPaused && mIsOpen && aIsOpen) {
     mObservedSince = aNow;
   }
   mHasEnded = hasEnded(aNow);
   mIsOpen = aIsOpen;
   if (std::exchange(mHasSentPacket, false) && isProven(aNow) && !mHasEnded) {
-    confirmRunning({ UpstreamProofKind::kPacket, mPreviousCheckAt });
-  }
-  if (aNow - mLastCheckAt >= kMinCheckInterval) {
-    mPreviousCheckAt = std::exchange(mLastCheckAt, aNow);
+    confirmRunning({ UpstreamProofKind::kPacket, mPacketsHandledUntil });
   }
+  mPacketsHandledUntil = aPacketsHandledUntil;
 }
 
 // An attempt that fails proves nothing: its deadline may pass while this process does not run. One
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -70,7 +70,8 @@
 
   /// @brief Applies whether the connection is open now. Called about every 100 ms, and before each
   /// other decision that depends on the upstream if the last call is longer ago.
-  void onConnectionChecked(base::Time aNow, bool aIsOpen);
+  /// @param aPacketsHandledUntil each packet that arrived before was passed to onPacket()
+  void onConnectionChecked(base::Time aNow, bool aIsOpen, base::Time aPacketsHandledUntil);
 
   /// @brief Records that the upstream sent a packet.
   void onPacket() { mHasSentPacket = true; }
@@ -123,7 +124,7 @@
   bool mIsOpen = false;
   bool mHasSentPacket = false; ///< since the last check
   base::Time mLastCheckAt;
-  base::Time mPreviousCheckAt; ///< check before the last one
+  base::Time mPacketsHandledUntil; ///< as of the last check
   bool mIsAttempting = false;
   base::Time mAttemptStartedAt;
   bool mIsAttemptOutdated = false; ///< the attempt in progress is for a start listed before
--- a/src/net/udp_socket.cpp
+++ b/src/net/udp_socket.cpp
@@ -1,5 +1,7 @@
 #include "net/udp_socket.hpp"
 
+#include "net/main_loop.hpp"
+
 #include <array>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -95,6 +97,8 @@
     vectors[i] = { mBuffers[i].data(), mBuffers[i].size() };
     messages[i] = { &senders[i], &vectors[i], 1, 0, 0, nullptr, nullptr };
   }
+  const base::Time startedAt = MainLoop::now();
+  mIsReceiving = true;
   const gint count =
     g_socket_receive_messages(mSocket, messages.data(), kMaxBatchDatagrams, 0, nullptr, nullptr);
   for (gint i = 0; i < count; ++i) {
@@ -106,12 +110,24 @@
     mReceiver(bytes, toEndpoint(senders[index]));
     g_object_unref(senders[index]);
   }
+  mIsReceiving = false;
+  const bool isDrained = count >= 0 && count < static_cast<gint>(kMaxBatchDatagrams);
+  mDrainedAt = isDrained ? startedAt : mDrainedAt;
   flush();
   if (mOnBatchEnd) {
     mOnBatchEnd();
   }
 }
 
+base::Time UdpSocket::drainedAt()
+{
+  const base::Time now = MainLoop::now();
+  if (!mIsReceiving && g_socket_condition_check(mSocket, G_IO_IN) == 0) {
+    mDrainedAt = now;
+  }
+  return mDrainedAt;
+}
+
 GSocketAddress* UdpSocket::addressOf(flow::Endpoint aEndpoint)
 {
   const auto found = mAddressCache.find(aEndpoint);
--- a/src/net/udp_socket.hpp
+++ b/src/net/udp_socket.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.hpp"
 #include "flow/packet_edit.hpp"
 #include "net/socket_counts.hpp"
 
@@ -46,6 +47,10 @@
   /// @brief Sends the queued datagrams. Datagrams that the kernel rejects are counted and dropped.
   void flush();
 
+  /// @brief Latest known time at which each datagram that had arrived had been passed to the
+  /// receiver; now if none waits.
+  base::Time drainedAt();
+
   /// @brief Datagrams and bytes received and sent so far.
   const SocketCounts& counts() const { return mCounts; }
 
@@ -77,6 +82,8 @@
   std::vector<QueuedDatagram> mSendQueue;
   std::unordered_map<flow::Endpoint, GSocketAddress*, flow::EndpointHash> mAddressCache;
   SocketCounts mCounts;
+  base::Time mDrainedAt;
+  bool mIsReceiving = false; ///< a batch is being passed to the receiver
 };
 
 } // namespace cornelcross::net
--- a/tests/unit/test_upstream_presence.cpp
+++ b/tests/unit/test_upstream_presence.cpp
@@ -116,7 +116,7 @@
   for (const base::Time end = mNow + 5s; mNow < end; mNow += 100ms) {
     const flow::Endpoint caller{ { 0x0A010101 }, 40000 };
     mAgent.onUpstreamPacket(mNow, makePacket({ kServiceAddress, caller, flow::kAck, 1, 1, 0 }));
-    mAgent.onUpstreamChecked(mNow, { true, true });
+    mAgent.onUpstreamChecked(mNow, { true, true, {}, mNow });
   }
   BOOST_TEST(findAction<agent::DeliverToUpstream>(open(40001)) != nullptr);
 }
--- a/tests/unit/test_upstream_watch.cpp
+++ b/tests/unit/test_upstream_watch.cpp
@@ -27,7 +27,7 @@
   void pass(base::Duration aTime, ConnectionOutcome aOutcome)
   {
     for (const base::Time end = mNow + aTime; mNow < end; mNow += 100ms) {
-      mWatch.onConnectionChecked(mNow, false);
+      mWatch.onConnectionChecked(mNow, false, mNow);
       mWatch.onAttempt(mNow, aOutcome);
     }
   }
@@ -41,7 +41,7 @@
       if (aSendsPackets) {
         mWatch.onPacket();
       }
-      mWatch.onConnectionChecked(mNow, true);
+      mWatch.onConnectionChecked(mNow, true, mNow);
       if (mWatch.startAttempt(mNow)) {
         mWatch.onAttempt(mNow, aOutcome);
         ++attempts;
@@ -107,7 +107,7 @@
 {
   int attempts = 0;
   for (const base::Time end = mNow + 10s; mNow < end; mNow += 100ms) {
-    mWatch.onConnectionChecked(mNow, false);
+    mWatch.onConnectionChecked(mNow, false, mNow);
     if (mWatch.startAttempt(mNow)) {
       mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
       ++attempts;
@@ -122,7 +122,7 @@
 BOOST_AUTO_TEST_CASE(a_pause_of_the_agent_does_not_extend_the_life_of_the_upstream)
 {
   mNow += 3s;
-  mWatch.onConnectionChecked(mNow, false);
+  mWatch.onConnectionChecked(mNow, false, mNow);
   BOOST_TEST(mWatch.hasEnded(mNow));
   mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
   BOOST_TEST(mWatch.hasEnded(mNow));
@@ -166,18 +166,32 @@
   passWhileOpen(1s, ConnectionOutcome::kAccepted);
   const base::Time checkedAt = mNow - 100ms;
   mNow += 800ms;
-  mWatch.onConnectionChecked(mNow, true);
+  mWatch.onConnectionChecked(mNow, true, checkedAt);
   mWatch.onPacket();
   passWhileOpen(1s, ConnectionOutcome::kFailed);
   BOOST_TEST(!mWatch.hasEnded(checkedAt + 1999ms));
   BOOST_TEST(mWatch.hasEnded(checkedAt + 2s));
 }
 
+// Guards against the same if the packets of the former upstream take several checks to read.
+BOOST_AUTO_TEST_CASE(a_packet_is_as_old_as_the_backlog_of_the_socket)
+{
+  passWhileOpen(1s, ConnectionOutcome::kAccepted);
+  const base::Time readUntil = mNow - 100ms;
+  mNow += 1s;
+  for (int i = 0; i < 5; ++i, mNow += 100ms) {
+    mWatch.onPacket();
+    mWatch.onConnectionChecked(mNow, true, readUntil);
+  }
+  BOOST_TEST(mWatch.mayReceiveFlows(readUntil + 1999ms));
+  BOOST_TEST(!mWatch.mayReceiveFlows(readUntil + 2s));
+}
+
 // Guards against an accepted connection that is dated after the end of the upstream.
 BOOST_AUTO_TEST_CASE(a_connection_is_as_old_as_the_start_of_its_attempt)
 {
   mNow += 1s;
-  mWatch.onConnectionChecked(mNow, false);
+  mWatch.onConnectionChecked(mNow, false, mNow);
   BOOST_REQUIRE(mWatch.startAttempt(mNow));
   mWatch.onAttempt(mNow + 400ms, ConnectionOutcome::kAccepted);
   BOOST_TEST(!mWatch.hasEnded(mNow + 1999ms));
@@ -190,7 +204,7 @@
 {
   passWhileOpen(1s, ConnectionOutcome::kAccepted);
   mNow += 2s;
-  mWatch.onConnectionChecked(mNow, true);
+  mWatch.onConnectionChecked(mNow, true, mNow);
   BOOST_TEST(!mWatch.mayReceiveFlows(mNow));
   mWatch.onPacket();
   passWhileOpen(300ms, ConnectionOutcome::kFailed, true);
@@ -203,7 +217,7 @@
   passWhileOpen(1s, ConnectionOutcome::kAccepted);
   const base::Time provenAt = mWatch.proof()->mAt;
   mNow = provenAt + 1700ms;
-  mWatch.onConnectionChecked(mNow, true);
+  mWatch.onConnectionChecked(mNow, true, mNow);
   BOOST_TEST(mWatch.mayReceiveFlows(provenAt + 1999ms));
   BOOST_TEST(!mWatch.mayReceiveFlows(provenAt + 2s));
 }
@@ -214,7 +228,7 @@
 {
   passWhileOpen(1s, ConnectionOutcome::kAccepted);
   mNow += 4s;
-  mWatch.onConnectionChecked(mNow, true);
+  mWatch.onConnectionChecked(mNow, true, mNow);
   BOOST_TEST(!mWatch.hasEnded(mNow));
   BOOST_REQUIRE(mWatch.startAttempt(mNow));
   mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
@@ -237,7 +251,7 @@
   passWhileOpen(500ms, ConnectionOutcome::kAccepted);
   passWhileOpen(700ms, ConnectionOutcome::kRefused);
   mNow += 4s;
-  mWatch.onConnectionChecked(mNow, true);
+  mWatch.onConnectionChecked(mNow, true, mNow);
   BOOST_TEST(mWatch.hasEnded(mNow));
   mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
   BOOST_TEST(!mWatch.mayReceiveFlows(mNow));
@@ -250,7 +264,7 @@
   passWhileOpen(500ms, ConnectionOutcome::kAccepted);
   BOOST_REQUIRE(mWatch.startAttempt(mNow));
   mNow += 3s;
-  mWatch.onConnectionChecked(mNow, true);
+  mWatch.onConnectionChecked(mNow, true, mNow);
   mWatch.onAttempt(mNow, ConnectionOutcome::kAccepted);
   BOOST_TEST(!mWatch.mayReceiveFlows(mNow));
   BOOST_TEST(mWatch.startAttempt(mNow));
@@ -281,7 +295,7 @@
 // Guards against the same if the configuration changes before the end was noticed by a check.
 BOOST_AUTO_TEST_CASE(an_end_that_no_check_has_noticed_is_kept_when_the_start_is_unlisted)
 {
-  mWatch.onConnectionChecked(mNow, false);
+  mWatch.onConnectionChecked(mNow, false, mNow);
   mWatch.onAttempt(mNow, ConnectionOutcome::kRefused);
   mNow += 2s;
   mWatch.list(mNow, std::nullopt);
@@ -292,7 +306,7 @@
 // Guards against the loss of an upstream that restarted, by an attempt that found the former one.
 BOOST_AUTO_TEST_CASE(the_outcome_of_an_attempt_does_not_count_for_a_start_that_is_listed_later)
 {
-  mWatch.onConnectionChecked(mNow, false);
+  mWatch.onConnectionChecked(mNow, false, mNow);
   BOOST_REQUIRE(mWatch.startAttempt(mNow + 1s));
   mWatch.list(mNow + 1s, kNextStart);
   mWatch.onAttempt(mNow + 1s, ConnectionOutcome::kRefused);
@@ -332,7 +346,7 @@
 BOOST_AUTO_TEST_CASE(a_start_that_refuses_before_it_was_seen_running_has_ended)
 {
   mWatch.list(mNow, kNextStart);
-  mWatch.onConnectionChecked(mNow, false);
+  mWatch.onConnectionChecked(mNow, false, mNow);
   mWatch.onAttempt(mNow, ConnectionOutcome::kRefused);
   mWatch.onAttempt(mNow + 100ms, ConnectionOutcome::kAccepted);
   BOOST_TEST(mWatch.hasEnded(mNow + 100ms));
@@ -348,8 +362,8 @@
   BOOST_TEST(mRestarted.hasEnded(mNow));
   mRestarted.onAttempt(mNow, ConnectionOutcome::kAccepted);
   mRestarted.onPacket();
-  mRestarted.onConnectionChecked(mNow + 100ms, true);
-  mRestarted.onConnectionChecked(mNow + 200ms, true);
+  mRestarted.onConnectionChecked(mNow + 100ms, true, mNow + 100ms);
+  mRestarted.onConnectionChecked(mNow + 200ms, true, mNow + 200ms);
   BOOST_TEST(mRestarted.hasEnded(mNow + 200ms));
 }
 
@@ -392,7 +406,7 @@
   mRestarted.list(mNow, kStart);
   mRestarted.onConfirmed();
   mRestarted.onPacket();
-  mRestarted.onConnectionChecked(mNow, false);
+  mRestarted.onConnectionChecked(mNow, false, mNow);
   BOOST_TEST(!mRestarted.mayReceiveFlows(mNow));
   mRestarted.onAttempt(mNow, ConnectionOutcome::kAccepted);
   BOOST_TEST(mRestarted.mayReceiveFlows(mNow));
--- a/tests/unit/test_upstream_watch_model.cpp
+++ b/tests/unit/test_upstream_watch_model.cpp
@@ -22,6 +22,7 @@
 constexpr base::Duration kSynInterval = 1s;
 constexpr base::Duration kMaxListingAge = 6s;  // of the configuration of the agent
 constexpr base::Duration kMaxStall = 5s;       // of the agent
+constexpr base::Duration kMaxBacklog = 600ms;  // for which the agent reads what came in a stall
 constexpr base::Duration kMaxTimerLag = 300ms; // of the poll of the settings, after a stall
 
 /// One start of an upstream at the endpoint.
@@ -54,6 +55,7 @@
     renewRecord();
     repeatSyn();
     if (mNow < mAgentRunsAt) {
+      mHasWaitingPacket = mHasWaitingPacket || (mRunning && mRunning->mIsBusy);
       return;
     }
     if (below(400) == 0) {
@@ -141,6 +143,7 @@
   void stallAgent()
   {
     mAgentRunsAt = mNow + upTo(below(2) == 0 ? kMaxStall : kMaxStall / 5);
+    mBacklogEndsAt = mAgentRunsAt + upTo(kMaxBacklog);
     mSettingsReadAt =
       std::max(mSettingsReadAt, mAgentRunsAt + upTo(kMaxTimerLag) - kSettingsInterval);
   }
@@ -151,6 +154,7 @@
     mAgentRunsAt = mNow + 300ms;
     mIsAgentStarted = false;
     mIsConnectionOpen = false;
+    mHasWaitingPacket = false;
     mAttemptEndsAt.reset();
     mReadEndsAt.reset();
     mListed.reset();
@@ -176,14 +180,20 @@
     follow();
     finishAttempt();
     finishRead();
-    if (mRunning && (mRunning->mIsBusy || below(300) == 0)) {
-      mWatch.onPacket();
-    }
+    readPackets();
     if (mNow >= mCheckedAt + kCheckInterval) {
       check();
     }
   }
 
+  void readPackets()
+  {
+    const bool isSent = mRunning && (mRunning->mIsBusy || below(300) == 0);
+    if (isSent || std::exchange(mHasWaitingPacket, mNow < mBacklogEndsAt && mHasWaitingPacket)) {
+      mWatch.onPacket();
+    }
+  }
+
   // Changed settings replace the watch, as the process at the endpoint is another one.
   void readSettings()
   {
@@ -214,7 +224,8 @@
   void check()
   {
     mCheckedAt = mNow;
-    mWatch.onConnectionChecked(mNow, mIsConnectionOpen);
+    mPacketsReadUntil = mHasWaitingPacket ? mPacketsReadUntil : mNow;
+    mWatch.onConnectionChecked(mNow, mIsConnectionOpen, mPacketsReadUntil);
     if (mNow >= mConfirmedAt) {
       mWatch.onConfirmed();
     }
@@ -292,13 +303,16 @@
   agent::UpstreamWatch mWatch{ kSettings };
   bool mIsAgentStarted = false;
   base::Time mAgentRunsAt;
-  bool mIsServiceSet = true; ///< the settings that the agent has read name the service
+  base::Time mBacklogEndsAt;
+  bool mHasWaitingPacket = false; ///< of an upstream that ran in the last stall
+  bool mIsServiceSet = true;      ///< the settings that the agent has read name the service
   base::Time mSettingsReadAt;
   base::Time mConfiguredAt;
   base::Time mConfirmedAt;
   base::Duration mListingAge{ 0 };
   std::optional<agent::ListedStart> mListed;
   base::Time mCheckedAt;
+  base::Time mPacketsReadUntil;
   bool mIsConnectionOpen = false;
   std::optional<base::Time> mAttemptEndsAt;
   base::Time mAttemptStartedAt;
