--- a/src/agent/upstream_watch.cpp
+++ b/src/agent/upstream_watch.cpp
@@ -50,13 +50,13 @@
   mIsRefused = mIsRefused || mIsInitial;
 }
 
-void UpstreamWatch::reset(base::Time aNow)
+void UpstreamWatch::reset(base::Time aObservedSince)
 {
   mHasEnded = false;
   mProof.reset();
   mIsRefused = false;
   mExpiredSince.reset();
-  mObservedSince = aNow;
+  mObservedSince = aObservedSince;
 }
 
 // What runs at the endpoint before the reuse delay is over is the listed start.
@@ -152,11 +152,11 @@
   }
 }
 
-void UpstreamWatch::revive(base::Time aNow)
+void UpstreamWatch::revive(base::Time aObservedSince)
 {
-  reset(aNow);
+  reset(aObservedSince);
   mFormerEndedStart = mFormerEndedStart == mStart ? std::nullopt : mFormerEndedStart;
-  mNextAttemptAt = aNow;
+  mNextAttemptAt = aObservedSince;
 }
 
 // While no process answers at the endpoint, the listed start cannot serve.
--- a/src/agent/upstream_watch.hpp
+++ b/src/agent/upstream_watch.hpp
@@ -109,8 +109,8 @@
   const std::optional<UpstreamProof>& proof() const { return mProof; }
 
 private:
-  void reset(base::Time aNow);
-  void revive(base::Time aNow);
+  void reset(base::Time aObservedSince);
+  void revive(base::Time aObservedSince);
   void confirmRunning(UpstreamProof aProof);
   bool isProven(base::Time aNow) const;
   base::Time waitingSince() const;
@@ -134,7 +134,7 @@
   bool mHasSeenRefusal = false; ///< an attempt was refused since this object exists
   bool mIsConfirmed = false;    ///< the configuration was confirmed since this object exists
   bool mIsInitial = false;      ///< the listed start was listed before that confirmation
-  base::Time mObservedSince;    ///< this process has watched the listed start without a pause
+  base::Time mObservedSince;    ///< from then on this process has watched the start without a pause
   base::Time mNextAttemptAt;
   bool mHasEnded = false;
 
