Membership: a process pulls from peers that answer

Cause: while packets pass one way only, a process hears peers that it cannot reach, and pulls from one of the newer peers at random. A peer that did not answer counted again with its next frame, and a growing backoff followed each failure.

Change: after a failed pull, peers from which none has failed within 10 s are preferred and tried without that backoff.

--- a/src/membership/pull_schedule.cpp
+++ b/src/membership/pull_schedule.cpp
@@ -11,6 +11,9 @@
 constexpr double kRetriesPerSecond = 2;
 constexpr double kRetryBurst = 5;
 
+/// Time for which a failed pull counts against its peer.
+constexpr base::Duration kFailureMemory = std::chrono::seconds(10);
+
 } // namespace
 
 PullSchedule::PullSchedule(const Settings& aSettings)
@@ -30,6 +33,15 @@
     found->second = aRevision;
   } else if (mNewerPeers.size() < kMaxNewerPeers) {
     mNewerPeers.emplace(aPeer, aRevision);
+  } else if (!hasFailed(aNow, aPeer)) {
+    const auto failed =
+      std::find_if(mNewerPeers.begin(), mNewerPeers.end(), [&](const auto& aEntry) {
+        return hasFailed(aNow, aEntry.first);
+      });
+    if (failed != mNewerPeers.end()) {
+      mNewerPeers.erase(failed);
+      mNewerPeers.emplace(aPeer, aRevision);
+    }
   }
   if (!mNextStart && !mInProgress) {
     mNextStart = std::max(mEarliestStart, aNow + aRandom.between({}, mSettings.mPullJitter));
@@ -48,9 +60,8 @@
   if (mNewerPeers.empty()) {
     return std::nullopt;
   }
-  const auto chosen =
-    std::next(mNewerPeers.begin(), static_cast<std::ptrdiff_t>(aRandom.below(mNewerPeers.size())));
-  mInProgress = chosen->first;
+  const std::vector<flow::Endpoint> peers = preferredPeers(aNow);
+  mInProgress = peers[aRandom.below(peers.size())];
   return mInProgress;
 }
 
@@ -62,15 +73,22 @@
   if (aIsSuccess) {
     mBackoff.reset();
     mEarliestStart = aNow;
+    if (mInProgress) {
+      mFailedPulls.erase(*mInProgress);
+    }
     erasePeersUpTo(aRevision);
   } else {
-    // Removing the peer makes the next pull go to another one. A later frame of the peer records it
-    // again.
+    std::erase_if(mFailedPulls, [&](const auto& aEntry) { return !hasFailed(aNow, aEntry.first); });
     if (mInProgress) {
       mNewerPeers.erase(*mInProgress);
+      mFailedPulls[*mInProgress] = aNow;
     }
-    mEarliestStart =
-      aNow + (mRetryBudget.tryConsume(aNow) ? mBackoff.next(aRandom) : mSettings.mPullMaxBackoff);
+    // The failure says nothing about a peer that was not tried.
+    const std::vector<flow::Endpoint> peers = preferredPeers(aNow);
+    const bool isNextUntried = !peers.empty() && !hasFailed(aNow, peers.front());
+    const base::Duration delay =
+      isNextUntried ? aRandom.between({}, mSettings.mPullMinBackoff) : mBackoff.next(aRandom);
+    mEarliestStart = aNow + (mRetryBudget.tryConsume(aNow) ? delay : mSettings.mPullMaxBackoff);
   }
   mInProgress.reset();
   mNextStart = mNewerPeers.empty() ? std::nullopt : std::optional<base::Time>(mEarliestStart);
@@ -86,6 +104,26 @@
   return false;
 }
 
+bool PullSchedule::hasFailed(base::Time aNow, flow::Endpoint aPeer) const
+{
+  const auto found = mFailedPulls.find(aPeer);
+  return found != mFailedPulls.end() && aNow - found->second < kFailureMemory;
+}
+
+// Peers from which no pull has failed lately; if there are none, all.
+std::vector<flow::Endpoint> PullSchedule::preferredPeers(base::Time aNow) const
+{
+  std::vector<flow::Endpoint> all;
+  std::vector<flow::Endpoint> preferred;
+  for (const auto& [peer, revision] : mNewerPeers) {
+    all.push_back(peer);
+    if (!hasFailed(aNow, peer)) {
+      preferred.push_back(peer);
+    }
+  }
+  return preferred.empty() ? all : preferred;
+}
+
 void PullSchedule::erasePeersUpTo(std::uint64_t aRevision)
 {
   std::erase_if(mNewerPeers, [&](const auto& aEntry) { return aEntry.second <= aRevision; });
--- a/src/membership/pull_schedule.hpp
+++ b/src/membership/pull_schedule.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace cornelcross::membership {
 
@@ -15,6 +16,9 @@
 /// The first pull starts after a random delay of up to Settings::mPullJitter, because one frame of
 /// a peer with a newer revision may reach thousands of processes with an older one at the same
 /// time.
+///
+/// A peer that can be heard may not be reachable, as while packets pass one way only. After a
+/// failed pull, others are preferred for a while.
 class PullSchedule
 {
 public:
@@ -46,11 +50,14 @@
 
 private:
   void erasePeersUpTo(std::uint64_t aRevision);
+  bool hasFailed(base::Time aNow, flow::Endpoint aPeer) const;
+  std::vector<flow::Endpoint> preferredPeers(base::Time aNow) const;
 
   Settings mSettings;
   Backoff mBackoff;
   RetryBudget mRetryBudget;
   std::map<flow::Endpoint, std::uint64_t> mNewerPeers;
+  std::map<flow::Endpoint, base::Time> mFailedPulls; ///< time of the last one from each peer
   std::optional<flow::Endpoint> mInProgress;
   std::optional<base::Time> mNextStart;
   base::Time mEarliestStart;
