--- a/tests/unit/test_packet_path.cpp
+++ b/tests/unit/test_packet_path.cpp
@@ -5,6 +5,7 @@
 #include "wire/codec.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 
 using namespace cornelcross;
 using namespace cornelcross::test;
@@ -31,13 +32,20 @@
     received.assign(aBytes.begin(), aBytes.end());
     loop.quit();
   });
-  loop.after(std::chrono::seconds(5), [&] { loop.quit(); });
+  // The timer stays in the main context when the loop is gone; a later test may dispatch it.
+  const auto isOver = std::make_shared<bool>(false);
+  loop.after(std::chrono::seconds(5), [&loop, isOver] {
+    if (!*isOver) {
+      loop.quit();
+    }
+  });
 
   const auto packet = makePacket(
     { *flow::Endpoint::parse("10.1.1.1:40000"), kServiceAddress, flow::kAck, 1, 2, 100 });
   path.handle(net::MainLoop::now(), packet);
   sending.flush();
   loop.run();
+  *isOver = true;
 
   const auto decoded = wire::decode(received);
   BOOST_REQUIRE(std::holds_alternative<wire::Frame>(decoded));
